--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,25 @@
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/Shopify/toxiproxy/v2"
+	_ "github.com/alexflint/go-arg"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/coder/websocket"
+	_ "github.com/fxamacker/cbor/v2"
+	_ "github.com/google/uuid"
+	_ "github.com/kataras/iris/v12"
+	_ "github.com/openai/openai-go/v3"
+	_ "github.com/prometheus/client_golang/prometheus"
+	_ "github.com/rotisserie/eris"
+	_ "github.com/rs/zerolog"
+	_ "github.com/uber-go/tally/v4"
+	_ "github.com/uber-go/tally/v4/prometheus"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "gopkg.in/ini.v1"
+	_ "gotest.tools/v3/assert"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/internal/engine/api.go
@@ -0,0 +1,108 @@
+// Package engine is the HTTP client of a model engine.
+package engine
+
+import (
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+// Paths of the engine's HTTP API.
+const (
+	PathInfo        = "/v1/info"
+	PathBatch       = "/v1/batch"
+	PathSequences   = "/v1/sequences/"
+	PathLoad        = "/v1/load"
+	PathCacheEvents = "/v1/cache-events"
+	PathOrders      = "/v1/orders"
+)
+
+// Info describes an engine.
+type Info struct {
+	Model       string              `json:"model"`
+	Version     string              `json:"version"`
+	ModelLayers int                 `json:"model_layers"`
+	Layers      pipeline.LayerRange `json:"layers"`
+	Accelerator string              `json:"accelerator"`
+	MaxBatch    int                 `json:"max_batch"`
+}
+
+// Step is the input of one position of one sequence. The first stage gets
+// Prompt at position 0 and Token afterwards; later stages get Activation.
+type Step struct {
+	Sequence   string           `json:"sequence"`
+	Position   request.Position `json:"position"`
+	Priority   int              `json:"priority,omitempty"`
+	Prompt     string           `json:"prompt,omitempty"`
+	Token      int              `json:"token,omitempty"`
+	Activation []byte           `json:"activation,omitempty"`
+}
+
+// StepResult is the output of one step. Activation is set unless the engine
+// holds the model's last layer; then Token, Text and End are set.
+type StepResult struct {
+	Sequence   string           `json:"sequence"`
+	Position   request.Position `json:"position"`
+	Activation []byte           `json:"activation,omitempty"`
+	Token      int              `json:"token,omitempty"`
+	Text       string           `json:"text,omitempty"`
+	// End is true if Token is the model's end-of-sequence token.
+	End          bool `json:"end,omitempty"`
+	PromptTokens int  `json:"prompt_tokens,omitempty"`
+	CachedTokens int  `json:"cached_tokens,omitempty"`
+	// Error is set if the step did not run.
+	Error string `json:"error,omitempty"`
+}
+
+// BatchRequest is the body of POST /v1/batch. Steps of the same sequence run
+// in the given order.
+type BatchRequest struct {
+	Steps []Step `json:"steps"`
+}
+
+// BatchResponse answers a BatchRequest, one result for each step.
+type BatchResponse struct {
+	Results []StepResult `json:"results"`
+}
+
+// SequenceStatus answers GET /v1/sequences/ID.
+type SequenceStatus struct {
+	Next request.Position `json:"next"`
+	// Last is the result of position Next-1.
+	Last *StepResult `json:"last,omitempty"`
+}
+
+// LoadReport answers GET /v1/load. It lags behind the engine's real load.
+type LoadReport struct {
+	Running   int   `json:"running"`
+	Waiting   int   `json:"waiting"`
+	KVUsed    int   `json:"kv_used_tokens"`
+	KVLimit   int   `json:"kv_limit_tokens"`
+	AgeMillis int64 `json:"age_ms"`
+}
+
+// CacheEvent reports a prompt prefix that entered or left the prefix cache.
+// Events arrive late and with gaps in Number.
+type CacheEvent struct {
+	Number  uint64 `json:"number"`
+	Prefix  string `json:"prefix"`
+	Evicted bool   `json:"evicted,omitempty"`
+}
+
+// OrderKind names what an order asks of an engine.
+type OrderKind string
+
+const (
+	// OrderLoadVersion loads a model version or adapter.
+	OrderLoadVersion OrderKind = "load-version"
+	// OrderSetRole changes the engine's layer range.
+	OrderSetRole OrderKind = "set-role"
+)
+
+// Order is the body of POST /v1/orders. Engines that check fencing numbers
+// refuse one that is lower than the highest they saw (HTTP 409).
+type Order struct {
+	Fencing uint64               `json:"fencing"`
+	Kind    OrderKind            `json:"kind"`
+	Version string               `json:"version,omitempty"`
+	Layers  *pipeline.LayerRange `json:"layers,omitempty"`
+}
--- /dev/null
+++ b/internal/pipeline/cursor.go
@@ -0,0 +1,81 @@
+package pipeline
+
+import (
+	"errors"
+
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+// ErrStaleAttempt is returned when a frame carries an attempt lower than the
+// one the stage is bound to.
+var ErrStaleAttempt = errors.New("pipeline: stale attempt")
+
+// Verdict says what a stage does with a step.
+type Verdict int
+
+const (
+	// VerdictRun means the step is the next one and must run now.
+	VerdictRun Verdict = iota
+	// VerdictAnswer means the step already ran; its output is sent again from
+	// the output log.
+	VerdictAnswer
+	// VerdictInProgress means the step is running; its output will follow.
+	VerdictInProgress
+	// VerdictEarly means an earlier step has not arrived yet.
+	VerdictEarly
+	// VerdictStale means the frame belongs to another attempt.
+	VerdictStale
+)
+
+// Cursor tracks which step of a sequence a stage runs next. A position moves
+// through the cursor exactly once, which is what keeps each layer from running
+// twice for a token. It is not safe for concurrent use.
+type Cursor struct {
+	attempt request.Attempt
+	next    request.Position
+	running bool
+}
+
+// Bind raises the cursor's attempt. Binding the current attempt again is
+// allowed. It returns ErrStaleAttempt for a lower attempt.
+func (c *Cursor) Bind(a request.Attempt) error {
+	if a < c.attempt {
+		return ErrStaleAttempt
+	}
+	c.attempt = a
+	return nil
+}
+
+// Attempt returns the attempt the cursor is bound to.
+func (c *Cursor) Attempt() request.Attempt { return c.attempt }
+
+// Next returns the first position that has not finished.
+func (c *Cursor) Next() request.Position { return c.next }
+
+// Running reports whether position Next is being executed.
+func (c *Cursor) Running() bool { return c.running }
+
+// Decide returns the verdict for a step. It does not change the cursor.
+func (c *Cursor) Decide(a request.Attempt, p request.Position) Verdict {
+	switch {
+	case a != c.attempt:
+		return VerdictStale
+	case p < c.next:
+		return VerdictAnswer
+	case p > c.next:
+		return VerdictEarly
+	case c.running:
+		return VerdictInProgress
+	default:
+		return VerdictRun
+	}
+}
+
+// Start marks position Next as running.
+func (c *Cursor) Start() { c.running = true }
+
+// Finish marks position Next as done.
+func (c *Cursor) Finish() {
+	c.running = false
+	c.next++
+}
--- /dev/null
+++ b/internal/pipeline/layers.go
@@ -0,0 +1,40 @@
+// Package pipeline holds the rules for running a model as a chain of stages:
+// layer ranges, cursors, output logs and the choice of a chain.
+package pipeline
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrLayerCoverage is returned by ValidateChain when the ranges do not cover
+// every layer exactly once in order.
+var ErrLayerCoverage = errors.New("pipeline: layer ranges do not cover the model exactly once")
+
+// LayerRange is the half-open range [From, To) of model layers.
+type LayerRange struct {
+	From int `cbor:"1,keyasint" json:"from"`
+	To   int `cbor:"2,keyasint" json:"to"`
+}
+
+// Len returns the number of layers in r.
+func (r LayerRange) Len() int { return r.To - r.From }
+
+// String formats r as "[from,to)".
+func (r LayerRange) String() string { return fmt.Sprintf("[%d,%d)", r.From, r.To) }
+
+// ValidateChain reports ErrLayerCoverage unless the ranges, in order, cover
+// layers 0 to layers-1 exactly once.
+func ValidateChain(layers int, ranges []LayerRange) error {
+	next := 0
+	for _, r := range ranges {
+		if r.From != next || r.Len() <= 0 {
+			return fmt.Errorf("%w: %s after layer %d", ErrLayerCoverage, r, next)
+		}
+		next = r.To
+	}
+	if next != layers {
+		return fmt.Errorf("%w: %d of %d layers", ErrLayerCoverage, next, layers)
+	}
+	return nil
+}
