Add the peer protocol, the stage executor and the sequence driver

Cause: the whole path needs the parts between the callers' API and the engine. Change: internal/peer frames CBOR over WebSocket with coalesced writes and closes silent connections; internal/sidecar runs steps under a cursor and keeps output logs; internal/entry drives a sequence over a chain and replaces lost stages. A star around the entry stays as a setting; a ring without the entry was ruled out because two processes would drive one sequence. Result: unit tests pass; the path is not connected yet, so nothing is measured.

--- /dev/null
+++ b/internal/entry/sequence.go
@@ -0,0 +1,500 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+// Errors of a sequence.
+var (
+	// ErrNoChain is returned when no usable chain covers the model.
+	ErrNoChain = errors.New("entry: no usable chain of upstreams covers the model")
+	// errAbandoned is returned when the caller left.
+	errAbandoned = errors.New("entry: the caller left")
+)
+
+const (
+	// openTimeout bounds the answers to OpenSequence.
+	openTimeout = 1500 * time.Millisecond
+	// rebindPause is the wait before a chain is tried again when no other
+	// upstream is left.
+	rebindPause = 100 * time.Millisecond
+)
+
+// Stage is one stage of a chain.
+type Stage struct {
+	Instance upstream.InstanceID
+	Address  string
+	Layers   pipeline.LayerRange
+}
+
+// chooser chooses upstreams for the stages of a sequence.
+type chooser interface {
+	// chain returns stages that cover the model. It returns ErrNoChain.
+	chain(s *sequence) ([]Stage, error)
+	// replace returns stages that cover the layers of one lost stage.
+	replace(s *sequence, lost Stage) ([]Stage, error)
+	// started and ended bracket the time a stage works for a sequence.
+	started(Stage)
+	ended(Stage)
+}
+
+// binding is a stage bound to the current attempt.
+type binding struct {
+	Stage
+	conn   *peer.Conn
+	next   request.Position
+	opened bool
+}
+
+// sequenceEvent is a frame for a sequence, or the loss of a connection.
+type sequenceEvent struct {
+	conn  *peer.Conn
+	frame peer.Frame
+}
+
+// sequence drives one language-model request over a chain of stages. It is
+// the only process that raises the attempt.
+type sequence struct {
+	node    *peer.Node
+	chooser chooser
+
+	id           request.ID
+	team         string
+	model        string
+	domains      []string
+	prompt       string
+	promptTokens int
+	maxTokens    int
+	priority     int
+	firstToken   time.Duration
+	deadline     time.Time
+	noResume     bool
+	star         bool
+
+	attempt  request.Attempt
+	stages   []binding
+	excluded map[upstream.InstanceID]bool
+	answer   *request.Assembler
+	tokens   []int
+	// sent is true once a step left for the first stage.
+	sent  bool
+	ended bool
+
+	usedPromptTokens int
+	onEvent          func(kind, detail string)
+
+	mu     sync.Mutex
+	events []sequenceEvent
+	notify chan struct{}
+}
+
+func (s *sequence) init() {
+	s.excluded = make(map[upstream.InstanceID]bool)
+	s.answer = request.NewAssembler()
+	s.notify = make(chan struct{}, 1)
+}
+
+// post hands an event to the sequence. It never blocks.
+func (s *sequence) post(e sequenceEvent) {
+	s.mu.Lock()
+	s.events = append(s.events, e)
+	s.mu.Unlock()
+	select {
+	case s.notify <- struct{}{}:
+	default:
+	}
+}
+
+func (s *sequence) takeEvents() []sequenceEvent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events := s.events
+	s.events = nil
+	return events
+}
+
+// run drives the sequence to its end and calls deliver for each piece.
+func (s *sequence) run(ctx context.Context, deliver func(request.Piece) error) error {
+	defer s.release()
+	stages, err := s.chooser.chain(s)
+	if err != nil {
+		return err
+	}
+	s.setStages(stages)
+	for {
+		if err := s.bind(ctx); err != nil {
+			return err
+		}
+		if err := s.resume(); err != nil {
+			return err
+		}
+		lost, err := s.follow(ctx, deliver)
+		if err != nil || s.ended {
+			return err
+		}
+		if s.noResume && s.sent {
+			return fmt.Errorf("%w: the profile forbids resuming", errStageLost)
+		}
+		if err := s.replaceLost(ctx, lost); err != nil {
+			return err
+		}
+	}
+}
+
+// errStageLost is returned when a stage was lost and can't be replaced.
+var errStageLost = errors.New("entry: a stage was lost")
+
+// setStages installs a chain of stages that hold nothing yet.
+func (s *sequence) setStages(stages []Stage) {
+	s.stages = s.stages[:0]
+	for _, stage := range stages {
+		s.stages = append(s.stages, binding{Stage: stage})
+		s.chooser.started(stage)
+	}
+}
+
+// bind opens the sequence at every stage under a new attempt. Stages that
+// refuse or can't be reached are replaced.
+func (s *sequence) bind(ctx context.Context) error {
+	for {
+		s.attempt++
+		lost := s.openAll(ctx)
+		if len(lost) == 0 {
+			return nil
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if err := s.replaceLost(ctx, lost); err != nil {
+			return err
+		}
+	}
+}
+
+// openAll sends OpenSequence to all stages and waits for the answers. It
+// returns the indexes of the stages that are lost.
+func (s *sequence) openAll(ctx context.Context) map[int]string {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	lost := s.dialAll(ctx)
+	for i := range s.stages {
+		b := &s.stages[i]
+		b.opened = false
+		if _, bad := lost[i]; bad {
+			continue
+		}
+		if err := b.conn.Send(s.openFrame(i)); err != nil {
+			lost[i] = err.Error()
+		}
+	}
+	for !s.allAnswered(lost) {
+		select {
+		case <-s.notify:
+			s.handleOpenEvents(lost)
+		case <-ctx.Done():
+			s.markUnanswered(lost)
+			return lost
+		}
+	}
+	return lost
+}
+
+// dialAll connects to all stages at once.
+func (s *sequence) dialAll(ctx context.Context) map[int]string {
+	lost := make(map[int]string)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range s.stages {
+		b := &s.stages[i]
+		if b.conn = s.node.Connection(b.Address); b.conn != nil {
+			continue
+		}
+		wg.Go(func() {
+			conn, err := s.node.Dial(ctx, b.Address)
+			mu.Lock()
+			defer mu.Unlock()
+			b.conn = conn
+			if err != nil {
+				lost[i] = err.Error()
+			}
+		})
+	}
+	wg.Wait()
+	return lost
+}
+
+func (s *sequence) openFrame(i int) *peer.OpenSequence {
+	b := s.stages[i]
+	open := &peer.OpenSequence{
+		Request: s.id, Attempt: s.attempt, Team: s.team, Priority: s.priority,
+		DeadlineMillis:   time.Until(s.deadline).Milliseconds(),
+		FirstTokenMillis: s.firstToken.Milliseconds(),
+		Model:            s.model, Layers: b.Layers, PromptTokens: s.promptTokens,
+	}
+	if !s.star && i+1 < len(s.stages) {
+		open.Downstream = s.stages[i+1].Address
+	}
+	return open
+}
+
+func (s *sequence) allAnswered(lost map[int]string) bool {
+	for i := range s.stages {
+		if _, bad := lost[i]; !bad && !s.stages[i].opened {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *sequence) markUnanswered(lost map[int]string) {
+	for i := range s.stages {
+		if _, bad := lost[i]; !bad && !s.stages[i].opened {
+			lost[i] = "no answer to open"
+		}
+	}
+}
+
+func (s *sequence) handleOpenEvents(lost map[int]string) {
+	for _, e := range s.takeEvents() {
+		i := s.stageOf(e.conn)
+		if i < 0 {
+			continue
+		}
+		switch f := e.frame.(type) {
+		case *peer.SequenceOpened:
+			if f.Attempt != s.attempt {
+				continue
+			}
+			if f.Refused != "" {
+				lost[i] = "refused: " + string(f.Refused)
+				continue
+			}
+			s.stages[i].next = f.Next
+			s.stages[i].opened = true
+		case *peer.SequenceFailed:
+			if j := s.blame(i, f); f.Attempt == s.attempt && j >= 0 {
+				lost[j] = string(f.Reason) + ": " + f.Detail
+			}
+		case nil:
+			lost[i] = "connection lost"
+		}
+	}
+}
+
+// stageOf returns the index of the stage behind conn, or -1.
+func (s *sequence) stageOf(conn *peer.Conn) int {
+	for i := range s.stages {
+		if s.stages[i].conn == conn {
+			return i
+		}
+	}
+	return -1
+}
+
+// blame returns the index of the stage that a report says is lost.
+func (s *sequence) blame(sender int, f *peer.SequenceFailed) int {
+	if f.Reason != peer.FailedDownstream {
+		return sender
+	}
+	for i := range s.stages {
+		if s.stages[i].Address == f.Downstream {
+			return i
+		}
+	}
+	return -1
+}
+
+// resume has every stage send what its successor has not run yet, then feeds
+// the first stage from the entry's own log.
+func (s *sequence) resume() error {
+	if s.attempt > 1 {
+		for i := range s.stages {
+			from := s.answer.Next()
+			if i+1 < len(s.stages) {
+				from = s.stages[i+1].next
+			}
+			_ = s.stages[i].conn.Send(&peer.ResumeSequence{Request: s.id, Attempt: s.attempt, From: from})
+		}
+	}
+	for p := s.stages[0].next; int(p) <= len(s.tokens); p++ {
+		s.sendStep(p)
+	}
+	return nil
+}
+
+// sendStep sends the input of one position to the first stage.
+func (s *sequence) sendStep(p request.Position) {
+	step := &peer.Step{Request: s.id, Attempt: s.attempt, Position: p}
+	if p == 0 {
+		step.Prompt = s.prompt
+	} else {
+		step.Token = s.tokens[p-1]
+	}
+	s.sent = true
+	// A failed send closes the connection, which arrives as an event.
+	_ = s.stages[0].conn.Send(step)
+}
+
+// follow passes tokens on until the answer ends or a stage is lost. It
+// returns the indexes of lost stages.
+func (s *sequence) follow(ctx context.Context, deliver func(request.Piece) error) (map[int]string, error) {
+	for {
+		select {
+		case <-s.notify:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		lost := make(map[int]string)
+		for _, e := range s.takeEvents() {
+			if err := s.handleEvent(e, lost, deliver); err != nil {
+				return nil, err
+			}
+		}
+		if s.ended || len(lost) > 0 {
+			return lost, nil
+		}
+	}
+}
+
+func (s *sequence) handleEvent(e sequenceEvent, lost map[int]string, deliver func(request.Piece) error) error {
+	i := s.stageOf(e.conn)
+	if i < 0 || s.ended {
+		return nil
+	}
+	switch f := e.frame.(type) {
+	case *peer.Token:
+		if f.Attempt != s.attempt {
+			return nil
+		}
+		return s.handleToken(f, deliver)
+	case *peer.Step:
+		if f.Attempt == s.attempt && i+1 < len(s.stages) {
+			_ = s.stages[i+1].conn.Send(f)
+		}
+	case *peer.SequenceFailed:
+		if f.Attempt != s.attempt {
+			return nil
+		}
+		return s.handleFailure(i, f, lost)
+	case nil:
+		lost[i] = "connection lost"
+	}
+	return nil
+}
+
+// errSequenceFailed is returned when a stage reports a failure that no other
+// stage can repair.
+var errSequenceFailed = errors.New("entry: sequence failed")
+
+func (s *sequence) handleFailure(i int, f *peer.SequenceFailed, lost map[int]string) error {
+	switch f.Reason {
+	case peer.FailedLog:
+		return fmt.Errorf("%w: %s", errSequenceFailed, f.Detail)
+	case peer.FailedDeadline:
+		return context.DeadlineExceeded
+	}
+	if j := s.blame(i, f); j >= 0 {
+		lost[j] = string(f.Reason) + ": " + f.Detail
+	}
+	return nil
+}
+
+func (s *sequence) handleToken(f *peer.Token, deliver func(request.Piece) error) error {
+	if f.Position == 0 {
+		s.usedPromptTokens = f.PromptTokens
+	}
+	ready, err := s.answer.Add(request.Piece{
+		Position: f.Position, Token: f.Token, Text: f.Text, End: f.End, Count: f.Count,
+	})
+	if err != nil {
+		return err
+	}
+	for _, piece := range ready {
+		s.tokens = append(s.tokens, piece.Token)
+		s.ended = piece.End || len(s.tokens) >= s.maxTokens
+		if !s.ended {
+			// The next step leaves before the caller is served, so that a slow
+			// caller does not delay the stages by more than one token.
+			s.sendStep(request.Position(len(s.tokens)))
+		}
+		if err := deliver(piece); err != nil {
+			return fmt.Errorf("%w: %w", errAbandoned, err)
+		}
+		if s.ended {
+			return nil
+		}
+	}
+	return nil
+}
+
+// replaceLost puts replacements in the place of lost stages. Without another
+// upstream the same ones are tried again after a pause.
+func (s *sequence) replaceLost(ctx context.Context, lost map[int]string) error {
+	stages := make([]binding, 0, len(s.stages))
+	for i, b := range s.stages {
+		reason, bad := lost[i]
+		if !bad {
+			stages = append(stages, b)
+			continue
+		}
+		s.record("stage-lost", fmt.Sprintf("%s: %s", b.Instance, reason))
+		s.abandon(b)
+		s.excluded[b.Instance] = true
+		replacements, err := s.chooser.replace(s, b.Stage)
+		if err != nil {
+			if err := s.waitForUpstream(ctx); err != nil {
+				return err
+			}
+			replacements = []Stage{b.Stage}
+		}
+		for _, r := range replacements {
+			s.record("stage-replaced", fmt.Sprintf("%s by %s", b.Instance, r.Instance))
+			s.chooser.started(r)
+			stages = append(stages, binding{Stage: r})
+		}
+	}
+	s.stages = stages
+	return nil
+}
+
+// waitForUpstream pauses when every upstream that could take over has been
+// tried, and forgets which ones were.
+func (s *sequence) waitForUpstream(ctx context.Context) error {
+	clear(s.excluded)
+	select {
+	case <-time.After(rebindPause):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// abandon tells a lost stage to stop working for the sequence.
+func (s *sequence) abandon(b binding) {
+	s.chooser.ended(b.Stage)
+	if b.conn != nil {
+		_ = b.conn.Send(&peer.CloseSequence{Request: s.id, Attempt: s.attempt})
+	}
+}
+
+// release ends the sequence at all stages.
+func (s *sequence) release() {
+	for _, b := range s.stages {
+		s.abandon(b)
+	}
+}
+
+func (s *sequence) record(kind, detail string) {
+	if s.onEvent != nil {
+		s.onEvent(kind, detail)
+	}
+}
--- /dev/null
+++ b/internal/entry/sequences.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+// sequenceTable routes frames to the sequences of this process.
+type sequenceTable struct {
+	mu   sync.RWMutex
+	byID map[request.ID]*sequence
+	// unknown counts frames for requests that this process does not know.
+	unknown atomic.Uint64
+}
+
+func newSequenceTable() *sequenceTable {
+	return &sequenceTable{byID: make(map[request.ID]*sequence)}
+}
+
+func (t *sequenceTable) add(s *sequence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.byID[s.id] = s
+}
+
+func (t *sequenceTable) remove(id request.ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byID, id)
+}
+
+func (t *sequenceTable) len() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.byID)
+}
+
+// deliver hands a frame to the sequence it belongs to.
+func (t *sequenceTable) deliver(c *peer.Conn, id request.ID, f peer.Frame) {
+	t.mu.RLock()
+	s := t.byID[id]
+	t.mu.RUnlock()
+	if s == nil {
+		t.unknown.Add(1)
+		return
+	}
+	s.post(sequenceEvent{conn: c, frame: f})
+}
+
+// lost tells every sequence that a connection has ended.
+func (t *sequenceTable) lost(c *peer.Conn) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, s := range t.byID {
+		s.post(sequenceEvent{conn: c})
+	}
+}
--- /dev/null
+++ b/internal/peer/node.go
@@ -0,0 +1,408 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/google/uuid"
+)
+
+// Errors of connection set-up.
+var (
+	// ErrUnauthorized is returned when the peer refuses our secret.
+	ErrUnauthorized = errors.New("peer: not authorized")
+	// ErrHandshake is returned when the peer's first frame is not a valid
+	// Hello of the same protocol version.
+	ErrHandshake = errors.New("peer: handshake failed")
+	// ErrUnreachable is returned when no connection could be made.
+	ErrUnreachable = errors.New("peer: unreachable")
+)
+
+// Path is the HTTP path of the peer protocol.
+const Path = "/peer"
+
+const (
+	handshakeTimeout = 2 * time.Second
+	bearerPrefix     = "Bearer "
+)
+
+// Handler receives the events of all connections of a Node. HandleFrame is
+// called from the connection's read loop, so frames of one connection arrive
+// in order; it must not block.
+type Handler interface {
+	Connected(c *Conn)
+	HandleFrame(c *Conn, f Frame)
+	Disconnected(c *Conn, err error)
+}
+
+// Options configure a Node.
+type Options struct {
+	// Secret authenticates peers to each other.
+	Secret string
+	// PingInterval is the time between round-trip measurements. Default 1 s.
+	PingInterval time.Duration
+	// IdleTimeout closes a connection on which nothing arrived, not even the
+	// answer to a ping. Default 3 times PingInterval.
+	IdleTimeout time.Duration
+	// TLS is the client's TLS configuration; nil means plain TCP.
+	TLS *tls.Config
+	// NoCoalescing writes each frame as a message of its own. It exists to
+	// measure what coalescing gains.
+	NoCoalescing bool
+	// Now is the clock. Default time.Now.
+	Now func() time.Time
+}
+
+// Node is this process's end of the peer protocol. It accepts connections
+// (ServeHTTP) and dials peers, at most one connection for each address.
+type Node struct {
+	handler  Handler
+	options  Options
+	revision func() uint64
+	client   *http.Client
+	process  string
+
+	mu     sync.Mutex
+	hello  Hello
+	dialed map[string]*dialing
+	conns  map[*Conn]struct{}
+	closed bool
+	wg     sync.WaitGroup
+
+	totalBytes atomic.Uint64
+}
+
+// dialing is a connection that exists or is being made.
+type dialing struct {
+	ready chan struct{}
+	conn  *Conn
+	err   error
+}
+
+// NewNode returns a Node that introduces itself with hello. The revision
+// function is called for every frame sent.
+func NewNode(hello Hello, handler Handler, revision func() uint64, options Options) *Node {
+	if options.PingInterval == 0 {
+		options.PingInterval = time.Second
+	}
+	if options.IdleTimeout == 0 {
+		options.IdleTimeout = 3 * options.PingInterval
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	hello.Version = ProtocolVersion
+	hello.Process = uuid.NewString()
+	transport := &http.Transport{TLSClientConfig: options.TLS}
+	return &Node{
+		handler:  handler,
+		options:  options,
+		revision: revision,
+		client:   &http.Client{Transport: transport},
+		process:  hello.Process,
+		hello:    hello,
+		dialed:   make(map[string]*dialing),
+		conns:    make(map[*Conn]struct{}),
+	}
+}
+
+// UpdateHello changes what later connections are told.
+func (n *Node) UpdateHello(change func(*Hello)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(&n.hello)
+}
+
+// Connection returns the existing connection that was dialed to address, or
+// nil. It does not dial.
+func (n *Node) Connection(address string) *Conn {
+	n.mu.Lock()
+	d := n.dialed[address]
+	n.mu.Unlock()
+	if d == nil {
+		return nil
+	}
+	select {
+	case <-d.ready:
+		return d.conn
+	default:
+		return nil
+	}
+}
+
+// Dial returns the connection to address, making it if needed. Concurrent
+// callers share one attempt. It returns ErrUnreachable, ErrUnauthorized,
+// ErrHandshake or ErrClosed.
+func (n *Node) Dial(ctx context.Context, address string) (*Conn, error) {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil, ErrClosed
+	}
+	d := n.dialed[address]
+	if d == nil {
+		d = &dialing{ready: make(chan struct{})}
+		n.dialed[address] = d
+		n.mu.Unlock()
+		conn, err := n.connect(ctx, address)
+		n.finishDial(address, d, conn, err)
+	} else {
+		n.mu.Unlock()
+	}
+	select {
+	case <-d.ready:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, ctx.Err())
+	}
+}
+
+// finishDial publishes the result of a dial. A connection that has already
+// ended is forgotten here, because remove ran before it was published.
+func (n *Node) finishDial(address string, d *dialing, conn *Conn, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d.conn, d.err = conn, err
+	if conn != nil {
+		_, open := n.conns[conn]
+		if !open {
+			d.conn, d.err = nil, fmt.Errorf("%w: %s: closed at once", ErrUnreachable, address)
+		}
+	}
+	if d.err != nil {
+		delete(n.dialed, address)
+	}
+	close(d.ready)
+}
+
+func (n *Node) connect(ctx context.Context, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	scheme := "ws"
+	if n.options.TLS != nil {
+		scheme = "wss"
+	}
+	ws, response, err := websocket.Dial(ctx, scheme+"://"+address+Path, &websocket.DialOptions{
+		HTTPClient: n.client,
+		HTTPHeader: http.Header{"Authorization": {bearerPrefix + n.options.Secret}},
+	})
+	if err != nil {
+		if response != nil && response.StatusCode == http.StatusUnauthorized {
+			return nil, ErrUnauthorized
+		}
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
+	}
+	return n.start(ctx, ws, address)
+}
+
+// ServeHTTP accepts a peer's connection. It returns when the connection ends.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !n.authorized(r) {
+		http.Error(w, "unauthorized", http.StatusUnauthorized)
+		return
+	}
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	c, err := n.start(ctx, ws, "")
+	if err != nil {
+		return
+	}
+	<-c.done
+}
+
+// authorized compares digests, so that the time taken tells nothing about the
+// secret or its length.
+func (n *Node) authorized(r *http.Request) bool {
+	given, found := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	want := sha256.Sum256([]byte(n.options.Secret))
+	got := sha256.Sum256([]byte(given))
+	return found && subtle.ConstantTimeCompare(want[:], got[:]) == 1
+}
+
+// start exchanges Hello frames and starts the connection's goroutines.
+func (n *Node) start(ctx context.Context, ws *websocket.Conn, dialed string) (*Conn, error) {
+	ws.SetReadLimit(MaxMessageBytes)
+	hello, revision, err := n.handshake(ctx, ws)
+	if err != nil {
+		_ = ws.CloseNow()
+		return nil, err
+	}
+	runCtx, cancel := context.WithCancel(context.Background())
+	c := &Conn{
+		node:   n,
+		ws:     ws,
+		hello:  hello,
+		dialed: dialed,
+		wakeup: make(chan struct{}, 1),
+		cancel: cancel,
+		done:   make(chan struct{}),
+	}
+	c.revision.Store(revision)
+	c.lastRead.Store(n.options.Now().UnixNano())
+	if !n.add(c) {
+		cancel()
+		_ = ws.CloseNow()
+		return nil, ErrClosed
+	}
+	go n.run(runCtx, c)
+	return c, nil
+}
+
+func (n *Node) handshake(ctx context.Context, ws *websocket.Conn) (Hello, uint64, error) {
+	n.mu.Lock()
+	own := n.hello
+	n.mu.Unlock()
+	data, err := encodeFrame(&own, n.revision())
+	if err != nil {
+		return Hello{}, 0, err
+	}
+	if err := ws.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return Hello{}, 0, fmt.Errorf("%w: %w", ErrHandshake, err)
+	}
+	_, data, err = ws.Read(ctx)
+	if err != nil {
+		return Hello{}, 0, fmt.Errorf("%w: %w", ErrHandshake, err)
+	}
+	f, revision, _, err := decodeFrame(data)
+	if err != nil {
+		return Hello{}, 0, fmt.Errorf("%w: %w", ErrHandshake, err)
+	}
+	hello, ok := f.(*Hello)
+	if !ok || hello.Version != ProtocolVersion {
+		return Hello{}, 0, ErrHandshake
+	}
+	return *hello, revision, nil
+}
+
+func (n *Node) add(c *Conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.conns[c] = struct{}{}
+	n.wg.Add(1)
+	return true
+}
+
+// run serves c until it ends. Connected is reported before any frame and
+// Disconnected after the last one.
+func (n *Node) run(ctx context.Context, c *Conn) {
+	defer n.wg.Done()
+	n.handler.Connected(c)
+	errs := make(chan error, 2)
+	go func() { errs <- c.writeLoop(ctx) }()
+	go func() { errs <- c.readLoop(ctx) }()
+	go n.pingLoop(ctx, c)
+	err := <-errs
+	c.Close()
+	_ = c.ws.CloseNow()
+	<-errs
+	n.remove(c)
+	c.doneErr = err
+	close(c.done)
+	n.handler.Disconnected(c, err)
+}
+
+func (n *Node) remove(c *Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+	if d := n.dialed[c.dialed]; d != nil && d.conn == c {
+		delete(n.dialed, c.dialed)
+	}
+	n.totalBytes.Add(c.sentBytes.Load())
+}
+
+// pingLoop measures the round-trip time and closes a connection whose peer
+// has gone silent.
+func (n *Node) pingLoop(ctx context.Context, c *Conn) {
+	ticker := time.NewTicker(n.options.PingInterval)
+	defer ticker.Stop()
+	c.ping()
+	last := n.options.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		now := n.options.Now()
+		// After a pause of this process the peer's frames are still unread, so
+		// its silence is judged one interval later.
+		paused := now.Sub(last) > 2*n.options.PingInterval
+		last = now
+		if !paused && now.Sub(c.LastRead()) > n.options.IdleTimeout {
+			c.idle.Store(true)
+			c.Close()
+			return
+		}
+		c.ping()
+	}
+}
+
+// Conns returns the open connections.
+func (n *Node) Conns() []*Conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	conns := make([]*Conn, 0, len(n.conns))
+	for c := range n.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// Links returns the measured delays of the connections this node dialed.
+func (n *Node) Links() []LinkDelay {
+	var links []LinkDelay
+	for _, c := range n.Conns() {
+		if rtt := c.RTT(); c.dialed != "" && rtt > 0 {
+			links = append(links, LinkDelay{Address: c.dialed, RTTMicros: rtt.Microseconds()})
+		}
+	}
+	return links
+}
+
+// Broadcast sends f to every open connection whose peer has the given role;
+// an empty role means all.
+func (n *Node) Broadcast(f Frame, role Role) {
+	for _, c := range n.Conns() {
+		if role == "" || c.hello.Role == role {
+			_ = c.Send(f)
+		}
+	}
+}
+
+// SentBytes returns the bytes of frames written since the node started.
+func (n *Node) SentBytes() uint64 {
+	total := n.totalBytes.Load()
+	for _, c := range n.Conns() {
+		total += c.sentBytes.Load()
+	}
+	return total
+}
+
+// Close ends all connections and waits for them.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
+	for _, c := range n.Conns() {
+		c.Close()
+	}
+	n.wg.Wait()
+}
--- a/internal/pipeline/cursor.go
+++ b/internal/pipeline/cursor.go
@@ -79,3 +79,7 @@
 	c.running = false
 	c.next++
 }
+
+// Abort marks position Next as not running. It may be called only if the step
+// surely did not run.
+func (c *Cursor) Abort() { c.running = false }
--- a/internal/pipeline/cursor_test.go
+++ b/internal/pipeline/cursor_test.go
@@ -66,13 +66,13 @@
 
 // Guards against a resumed stage being fed from a log that lost outputs.
 func TestOutputLogTruncation(t *testing.T) {
-	log := NewOutputLog(8)
-	log.Append([]byte("abcd"))
-	log.Append([]byte("efgh"))
+	log := NewOutputLog(2 * (outputOverheadBytes + 4))
+	log.Append(Output{Activation: []byte("abcd")})
+	log.Append(Output{Activation: []byte("efgh")})
 	outputs, err := log.From(1)
 	assert.NilError(t, err)
-	assert.Equal(t, string(outputs[0]), "efgh")
-	log.Append([]byte("i"))
+	assert.Equal(t, string(outputs[0].Activation), "efgh")
+	log.Append(Output{Activation: []byte("i")})
 	_, err = log.From(2)
 	assert.ErrorIs(t, err, ErrLogTruncated)
 }
--- a/internal/pipeline/outputlog.go
+++ b/internal/pipeline/outputlog.go
@@ -10,12 +10,31 @@
 // log exceeded its byte budget.
 var ErrLogTruncated = errors.New("pipeline: output log exceeded its byte budget")
 
+// Output is what a stage produced for one position: an activation, or a token
+// if the stage holds the model's last layer.
+type Output struct {
+	Activation   []byte
+	Token        int
+	Text         string
+	End          bool
+	PromptTokens int
+	CachedTokens int
+}
+
+// outputOverheadBytes is the size of an Output without its contents.
+const outputOverheadBytes = 96
+
+// size returns the memory an output takes, in bytes.
+func (o Output) size() int {
+	return outputOverheadBytes + len(o.Activation) + len(o.Text)
+}
+
 // OutputLog keeps what a stage handed to its successor, so that a replacement
 // of the successor can be fed again. It is not safe for concurrent use.
 type OutputLog struct {
 	limit     int
 	bytes     int
-	outputs   [][]byte
+	outputs   []Output
 	truncated bool
 }
 
@@ -26,23 +45,23 @@
 
 // Append stores the output of the next position. Once the budget is exceeded
 // the log drops everything and stays truncated.
-func (l *OutputLog) Append(output []byte) {
+func (l *OutputLog) Append(output Output) {
 	if l.truncated {
 		return
 	}
-	if l.bytes+len(output) > l.limit {
+	if l.bytes+output.size() > l.limit {
 		l.truncated = true
 		l.outputs = nil
 		l.bytes = 0
 		return
 	}
 	l.outputs = append(l.outputs, output)
-	l.bytes += len(output)
+	l.bytes += output.size()
 }
 
 // From returns the outputs of position from and later. It returns
 // ErrLogTruncated if they are no longer held.
-func (l *OutputLog) From(from request.Position) ([][]byte, error) {
+func (l *OutputLog) From(from request.Position) ([]Output, error) {
 	if l.truncated {
 		return nil, ErrLogTruncated
 	}
--- /dev/null
+++ b/internal/sidecar/stage.go
@@ -0,0 +1,356 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/engine"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+const (
+	// maxPendingSteps bounds the steps of one sequence that wait for an
+	// earlier one. A replacement stage receives a whole log at once.
+	maxPendingSteps = 1 << 16
+	// orphanGrace is how long a sequence outlives the connection of its entry,
+	// so that an entry that was paused or cut off briefly can bind it again.
+	orphanGrace = 3 * time.Second
+	// closedMemory is how long the id of a closed sequence is remembered, so
+	// that a late OpenSequence of an old attempt can't open it again.
+	closedMemory = 2 * time.Minute
+	// dialTimeout bounds the connection to the next stage.
+	dialTimeout = time.Second
+)
+
+// sequence is one request's state at this stage.
+type sequence struct {
+	open     peer.OpenSequence
+	entry    *peer.Conn
+	cursor   pipeline.Cursor
+	log      *pipeline.OutputLog
+	pending  map[request.Position]*peer.Step
+	engineID string
+	deadline time.Time
+	// ran is true once a step was handed to the engine.
+	ran bool
+	// orphaned is when the entry's connection ended, or zero.
+	orphaned time.Time
+}
+
+// Stage runs the sequences of one engine. It owns their cursors and output
+// logs.
+type Stage struct {
+	node      *peer.Node
+	scheduler *scheduler
+	logBytes  int
+	now       func() time.Time
+
+	mu        sync.Mutex
+	sequences map[request.ID]*sequence
+	closed    map[request.ID]closedSequence
+}
+
+// closedSequence remembers a sequence that ended.
+type closedSequence struct {
+	attempt request.Attempt
+	at      time.Time
+}
+
+// newStage returns a Stage that hands steps to the scheduler.
+func newStage(node *peer.Node, s *scheduler, logBytes int, now func() time.Time) *Stage {
+	stage := &Stage{
+		node:      node,
+		scheduler: s,
+		logBytes:  logBytes,
+		now:       now,
+		sequences: make(map[request.ID]*sequence),
+		closed:    make(map[request.ID]closedSequence),
+	}
+	s.finished = stage.finishStep
+	s.failed = stage.failStep
+	return stage
+}
+
+// Open binds the stage to an attempt and answers with the cursor, after the
+// connection to the next stage stands. A sequence that the stage holds is
+// accepted even while the upstream is leaving.
+func (s *Stage) Open(entry *peer.Conn, open *peer.OpenSequence, leaving bool) {
+	if open.Downstream == "" || s.node.Connection(open.Downstream) != nil {
+		s.bind(entry, open, leaving)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		if _, err := s.node.Dial(ctx, open.Downstream); err != nil {
+			_ = entry.Send(&peer.SequenceFailed{
+				Request: open.Request, Attempt: open.Attempt,
+				Reason: peer.FailedDownstream, Downstream: open.Downstream, Detail: err.Error(),
+			})
+			return
+		}
+		s.bind(entry, open, leaving)
+	}()
+}
+
+func (s *Stage) bind(entry *peer.Conn, open *peer.OpenSequence, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer := &peer.SequenceOpened{Request: open.Request, Attempt: open.Attempt}
+	seq, reason := s.bindLocked(entry, open, leaving)
+	answer.Refused = reason
+	if seq != nil {
+		answer.Next = seq.cursor.Next()
+	}
+	_ = entry.Send(answer)
+}
+
+func (s *Stage) bindLocked(entry *peer.Conn, open *peer.OpenSequence, leaving bool) (*sequence, peer.RefusalReason) {
+	seq := s.sequences[open.Request]
+	if seq == nil {
+		if closed, ok := s.closed[open.Request]; ok && open.Attempt <= closed.attempt {
+			return nil, peer.RefusedStaleAttempt
+		}
+		if leaving {
+			return nil, peer.RefusedLeaving
+		}
+		if reason := s.scheduler.admit(open); reason != "" {
+			return nil, reason
+		}
+		seq = s.newSequence(open)
+	}
+	if err := seq.cursor.Bind(open.Attempt); err != nil {
+		return nil, peer.RefusedStaleAttempt
+	}
+	seq.open = *open
+	seq.entry = entry
+	seq.orphaned = time.Time{}
+	return seq, ""
+}
+
+func (s *Stage) newSequence(open *peer.OpenSequence) *sequence {
+	seq := &sequence{
+		log:      pipeline.NewOutputLog(s.logBytes),
+		pending:  make(map[request.Position]*peer.Step),
+		engineID: engineSequenceID(open.Request, open.Attempt),
+		deadline: s.now().Add(time.Duration(open.DeadlineMillis) * time.Millisecond),
+	}
+	s.sequences[open.Request] = seq
+	return seq
+}
+
+// Resume sends the outputs from a position again, after a new attempt has
+// been bound.
+func (s *Stage) Resume(r *peer.ResumeSequence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seq := s.sequences[r.Request]
+	if seq == nil || seq.cursor.Attempt() != r.Attempt {
+		return
+	}
+	outputs, err := seq.log.From(r.From)
+	if err != nil {
+		s.reportFailure(seq, peer.FailedLog, err.Error())
+		return
+	}
+	for i, output := range outputs {
+		s.sendOutput(seq, r.From+request.Position(i), output)
+	}
+}
+
+// Step takes the input of one position.
+func (s *Stage) Step(step *peer.Step) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seq := s.sequences[step.Request]
+	if seq == nil {
+		return
+	}
+	switch seq.cursor.Decide(step.Attempt, step.Position) {
+	case pipeline.VerdictRun:
+		s.startStep(seq, step)
+	case pipeline.VerdictEarly:
+		if len(seq.pending) < maxPendingSteps {
+			seq.pending[step.Position] = step
+		}
+	case pipeline.VerdictAnswer:
+		if outputs, err := seq.log.From(step.Position); err == nil && len(outputs) > 0 {
+			s.sendOutput(seq, step.Position, outputs[0])
+		}
+	case pipeline.VerdictInProgress, pipeline.VerdictStale:
+	}
+}
+
+// startStep hands the next step to the scheduler. The caller holds s.mu.
+func (s *Stage) startStep(seq *sequence, step *peer.Step) {
+	seq.cursor.Start()
+	w := &work{
+		request:      step.Request,
+		team:         seq.open.Team,
+		priority:     seq.open.Priority,
+		deadline:     seq.deadline,
+		promptTokens: step.PromptTokens,
+		cachedTokens: step.CachedTokens,
+		step: engine.Step{
+			Sequence:   seq.engineID,
+			Position:   step.Position,
+			Priority:   seq.open.Priority,
+			Prompt:     step.Prompt,
+			Token:      step.Token,
+			Activation: step.Activation,
+		},
+		cost: stepCost(seq.open.PromptTokens, step.Position),
+	}
+	if err := s.scheduler.push(w); err != nil {
+		seq.cursor.Abort()
+		s.reportFailure(seq, peer.FailedQueueFull, err.Error())
+		return
+	}
+	seq.ran = true
+}
+
+// finishStep is called by the scheduler with the result of a step.
+func (s *Stage) finishStep(w *work, result engine.StepResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seq := s.sequences[w.request]
+	if seq == nil || seq.engineID != w.step.Sequence {
+		return
+	}
+	output := pipeline.Output{
+		Activation: result.Activation, Token: result.Token, Text: result.Text, End: result.End,
+		PromptTokens: max(result.PromptTokens, w.promptTokens),
+		CachedTokens: max(result.CachedTokens, w.cachedTokens),
+	}
+	position := seq.cursor.Next()
+	seq.cursor.Finish()
+	seq.log.Append(output)
+	s.sendOutput(seq, position, output)
+	if next, ok := seq.pending[seq.cursor.Next()]; ok {
+		delete(seq.pending, seq.cursor.Next())
+		s.startStep(seq, next)
+	}
+}
+
+// failStep is called by the scheduler for a step that can't be run.
+func (s *Stage) failStep(w *work, reason peer.FailureReason, detail string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seq := s.sequences[w.request]
+	if seq == nil || seq.engineID != w.step.Sequence {
+		return
+	}
+	s.reportFailure(seq, reason, detail)
+	// The engine may have run the step, so this stage can't run it again.
+	s.closed[w.request] = closedSequence{attempt: seq.cursor.Attempt(), at: s.now()}
+	s.removeLocked(w.request)
+}
+
+// sendOutput sends an output under the current attempt to the next stage, or
+// to the entry. The caller holds s.mu, which keeps outputs in order.
+func (s *Stage) sendOutput(seq *sequence, position request.Position, output pipeline.Output) {
+	attempt := seq.cursor.Attempt()
+	if seq.open.Layers.To == s.scheduler.descriptor().ModelLayers {
+		_ = seq.entry.Send(tokenFrame(seq.open.Request, attempt, position, output))
+		return
+	}
+	step := &peer.Step{
+		Request: seq.open.Request, Attempt: attempt, Position: position, Activation: output.Activation,
+		PromptTokens: output.PromptTokens, CachedTokens: output.CachedTokens,
+	}
+	if seq.open.Downstream == "" {
+		_ = seq.entry.Send(step)
+		return
+	}
+	conn := s.node.Connection(seq.open.Downstream)
+	if conn == nil || conn.Send(step) != nil {
+		s.reportFailure(seq, peer.FailedDownstream, "connection lost")
+	}
+}
+
+func tokenFrame(id request.ID, attempt request.Attempt, position request.Position, output pipeline.Output) *peer.Token {
+	token := &peer.Token{
+		Request: id, Attempt: attempt, Position: position, Token: output.Token, Text: output.Text,
+		End: output.End, PromptTokens: output.PromptTokens, CachedTokens: output.CachedTokens,
+	}
+	if output.End {
+		token.Count = int(position) + 1
+	}
+	return token
+}
+
+// reportFailure tells the entry that the sequence can't go on here. The
+// caller holds s.mu.
+func (s *Stage) reportFailure(seq *sequence, reason peer.FailureReason, detail string) {
+	_ = seq.entry.Send(&peer.SequenceFailed{
+		Request: seq.open.Request, Attempt: seq.cursor.Attempt(), Reason: reason,
+		Ran: seq.ran, Downstream: seq.open.Downstream, Detail: detail,
+	})
+}
+
+// Close ends a sequence unless it is bound to a higher attempt.
+func (s *Stage) Close(c *peer.CloseSequence) {
+	s.mu.Lock()
+	seq := s.sequences[c.Request]
+	if seq != nil && seq.cursor.Attempt() > c.Attempt {
+		s.mu.Unlock()
+		return
+	}
+	s.closed[c.Request] = closedSequence{attempt: c.Attempt, at: s.now()}
+	s.removeLocked(c.Request)
+	s.mu.Unlock()
+}
+
+// removeLocked drops a sequence and frees its KV cache. The caller holds s.mu.
+func (s *Stage) removeLocked(id request.ID) {
+	seq := s.sequences[id]
+	if seq == nil {
+		return
+	}
+	delete(s.sequences, id)
+	s.scheduler.cancel(seq.engineID)
+}
+
+// Disconnected handles the end of a connection: sequences of an entry become
+// orphans, and sequences whose next stage is lost are reported.
+func (s *Stage) Disconnected(c *peer.Conn, dialedAddress string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, seq := range s.sequences {
+		if seq.entry == c {
+			seq.orphaned = s.now()
+		}
+		if dialedAddress != "" && seq.open.Downstream == dialedAddress {
+			s.reportFailure(seq, peer.FailedDownstream, "connection lost")
+		}
+	}
+}
+
+// Sweep removes orphans, sequences past their deadline, and old memories of
+// closed sequences.
+func (s *Stage) Sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for id, seq := range s.sequences {
+		orphan := !seq.orphaned.IsZero() && now.Sub(seq.orphaned) > orphanGrace
+		if orphan || now.After(seq.deadline.Add(orphanGrace)) {
+			s.removeLocked(id)
+		}
+	}
+	for id, closed := range s.closed {
+		if now.Sub(closed.at) > closedMemory {
+			delete(s.closed, id)
+		}
+	}
+}
+
+// Len returns the number of open sequences.
+func (s *Stage) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sequences)
+}
