settings: Read the daemon's INI settings

Struct tags with ini's own mapping were ruled out: it ignores unknown keys and stops at the first fault.

--- /dev/null
+++ b/internal/settings/values.go
@@ -0,0 +1,175 @@
+package settings
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// minSecretBytes is the shortest shared secret: 128 bits if it is random.
+const minSecretBytes = 16
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+func name(s string) (string, error) {
+	if !namePattern.MatchString(s) {
+		return "", fmt.Errorf("%q is not a name: 1 to 63 letters, digits, '.', '_' or '-', the first a letter or digit", s)
+	}
+	return s, nil
+}
+
+func nonEmpty(s string) (string, error) {
+	if s == "" {
+		return "", errors.New("is empty")
+	}
+	return s, nil
+}
+
+func oneOf[T ~string](allowed ...T) func(string) (T, error) {
+	return func(s string) (T, error) {
+		if slices.Contains(allowed, T(s)) {
+			return T(s), nil
+		}
+		return "", fmt.Errorf("%q is not one of %v", s, allowed)
+	}
+}
+
+// listenAddress accepts IP:port and :port; port 0 asks the system for a port.
+func listenAddress(s string) (string, error) {
+	if port, ok := strings.CutPrefix(s, ":"); ok {
+		if _, err := strconv.ParseUint(port, 10, 16); err == nil {
+			return s, nil
+		}
+	}
+	a, err := netip.ParseAddrPort(s)
+	if err != nil {
+		return "", fmt.Errorf("%q is not IP:port or :port", s)
+	}
+	return a.String(), nil
+}
+
+// peerAddress accepts an IP:port that others can dial.
+func peerAddress(s string) (string, error) {
+	a, err := netip.ParseAddrPort(s)
+	if err != nil {
+		return "", fmt.Errorf("%q is not IP:port", s)
+	}
+	if a.Addr().IsUnspecified() || a.Addr().IsMulticast() || a.Port() == 0 {
+		return "", fmt.Errorf("%q can't be dialled", s)
+	}
+	return a.String(), nil
+}
+
+// peerAddresses accepts a comma-separated list; empty means none.
+func peerAddresses(s string) ([]string, error) {
+	if s == "" {
+		return nil, nil
+	}
+	var list []string
+	for part := range strings.SplitSeq(s, ",") {
+		a, err := peerAddress(strings.TrimSpace(part))
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, a)
+	}
+	return list, nil
+}
+
+func baseURL(s string) (string, error) {
+	u, err := url.Parse(s)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Hostname() == "" {
+		return "", fmt.Errorf("%q is not an http or https URL", s)
+	}
+	if u.User != nil || strings.Trim(u.Path, "/") != "" || strings.ContainsAny(s, "?#") {
+		return "", fmt.Errorf("%q holds more than scheme, host and port", s)
+	}
+	return u.Scheme + "://" + u.Host, nil
+}
+
+func numericURL(s string) (string, error) {
+	base, err := baseURL(s)
+	if err != nil {
+		return "", err
+	}
+	u, err := url.Parse(base)
+	if err != nil {
+		return "", fmt.Errorf("%q is not an http or https URL", s)
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		return "", fmt.Errorf("the host of %q is not a numeric IP address", s)
+	}
+	return base, nil
+}
+
+// duration accepts a duration in Go's form between low and high.
+func duration(low, high time.Duration) func(string) (time.Duration, error) {
+	return func(s string) (time.Duration, error) {
+		d, err := time.ParseDuration(s)
+		if err != nil {
+			return 0, fmt.Errorf("%q is not a duration such as 250ms, 2s or 10m", s)
+		}
+		if d < low || d > high {
+			return 0, fmt.Errorf("%s is outside %s to %s", s, low, high)
+		}
+		return d, nil
+	}
+}
+
+func count(low, high int) func(string) (int, error) {
+	return func(s string) (int, error) {
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			return 0, fmt.Errorf("%q is not a whole number", s)
+		}
+		if n < low || n > high {
+			return 0, fmt.Errorf("%d is outside %d to %d", n, low, high)
+		}
+		return n, nil
+	}
+}
+
+// size accepts bytes, optionally with the suffix KiB, MiB or GiB.
+func size(low, high int) func(string) (int, error) {
+	return func(s string) (int, error) {
+		digits, unit := s, 1
+		for _, u := range []struct {
+			suffix string
+			bytes  int
+		}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}} {
+			if rest, ok := strings.CutSuffix(s, u.suffix); ok {
+				digits, unit = strings.TrimSpace(rest), u.bytes
+			}
+		}
+		n, err := strconv.Atoi(digits)
+		if err != nil {
+			return 0, fmt.Errorf("%q is not a size such as 65536, 64 KiB or 1 MiB", s)
+		}
+		if n < 0 || n > high/unit || n*unit < low {
+			return 0, fmt.Errorf("%s is outside %d to %d bytes", s, low, high)
+		}
+		return n * unit, nil
+	}
+}
+
+// secret never repeats the value in its error.
+func secret(s string) (Secret, error) {
+	if len(s) < minSecretBytes {
+		return "", fmt.Errorf("the secret is shorter than %d bytes", minSecretBytes)
+	}
+	return Secret(s), nil
+}
+
+func digest(s string) (string, error) {
+	if b, err := hex.DecodeString(s); err != nil || len(b) != 32 {
+		return "", errors.New("is not a SHA-256 digest of 64 hexadecimal digits")
+	}
+	return strings.ToLower(s), nil
+}
