Add the entry process, membership and configuration spreading

Cause: sequences need a directory of upstreams and profiles from the replica. Change: the entry dials what the platform's list and the seeds name, feeds the directory from heartbeats and serves the callers' backend. internal/configsync pushes changes to peers that are behind and asks peers that are ahead.

--- /dev/null
+++ b/internal/entry/chat.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/callerapi"
+	"github.com/nutmegroute/nutmegroute/internal/profile"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+const (
+	// bytesPerToken is used to estimate the length of a prompt before the
+	// first stage has counted it.
+	bytesPerToken = 4
+	// retryAfterBusy is the hint for callers that were refused for load.
+	retryAfterBusy = time.Second
+)
+
+// Chat implements callerapi.Backend.
+func (e *Entry) Chat(ctx context.Context, r callerapi.ChatRequest, token func(text string) error) callerapi.ChatResult {
+	p, ok := e.replica.State().Profile(r.Profile)
+	if !ok {
+		return callerapi.ChatResult{Result: refused(http.StatusNotFound, "model_not_found", "the profile does not exist")}
+	}
+	if e.draining() {
+		return callerapi.ChatResult{Result: busy("the entry is leaving")}
+	}
+	s := e.newSequence(r, p)
+	ctx, cancel := context.WithDeadline(ctx, s.deadline)
+	defer cancel()
+	e.sequences.add(s)
+	defer e.sequences.remove(s.id)
+	err := s.run(ctx, func(p request.Piece) error { return token(p.Text) })
+	return s.result(err)
+}
+
+func (e *Entry) newSequence(r callerapi.ChatRequest, p profile.Profile) *sequence {
+	prompt := joinMessages(r.Messages)
+	maxTokens := p.MaxTokens
+	if r.MaxTokens > 0 {
+		maxTokens = min(maxTokens, r.MaxTokens)
+	}
+	s := &sequence{
+		node: e.node, chooser: e.chooser,
+		id: r.ID, team: r.Team, model: p.Model, domains: p.FailureDomains,
+		prompt: prompt, promptTokens: len(prompt)/bytesPerToken + 1, maxTokens: maxTokens,
+		priority:   p.Priority,
+		firstToken: time.Duration(p.FirstTokenMillis) * time.Millisecond,
+		deadline:   time.Now().Add(time.Duration(p.DeadlineMillis) * time.Millisecond),
+		noResume:   p.NoResume,
+		star:       e.options.Star,
+	}
+	s.init()
+	return s
+}
+
+// joinMessages renders a conversation as one prompt. Only a conversation of
+// more than one message needs roles to tell the speakers apart.
+func joinMessages(messages []callerapi.Message) string {
+	if len(messages) == 1 {
+		return messages[0].Content
+	}
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(m.Content)
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// result classifies the end of a sequence. Without a step sent no engine ran
+// any part of it.
+func (s *sequence) result(err error) callerapi.ChatResult {
+	result := callerapi.ChatResult{
+		PromptTokens:     s.usedPromptTokens,
+		CompletionTokens: len(s.tokens),
+		Finish:           callerapi.FinishStop,
+	}
+	if err == nil {
+		result.Outcome = request.OutcomeCompleted
+		if !s.answer.Complete(len(s.tokens)) {
+			result.Finish = callerapi.FinishLength
+		}
+		return result
+	}
+	if !s.sent {
+		result.Result = busy(err.Error())
+		return result
+	}
+	status := http.StatusBadGateway
+	if errors.Is(err, context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	result.Result = callerapi.Result{
+		Outcome: request.OutcomeFailed,
+		Err: &callerapi.Error{
+			Status: status, Type: "server_error", Code: "incomplete",
+			Message: "the answer is incomplete: " + err.Error(),
+		},
+	}
+	return result
+}
+
+// refused is a request that was never dispatched and can't succeed as it is.
+func refused(status int, code, message string) callerapi.Result {
+	return callerapi.Result{
+		Outcome: request.OutcomeNotRun,
+		Err:     &callerapi.Error{Status: status, Type: "invalid_request_error", Code: code, Message: message},
+	}
+}
+
+// busy is a request that was never dispatched and may be sent again.
+func busy(message string) callerapi.Result {
+	return callerapi.Result{
+		Outcome:    request.OutcomeNotRun,
+		RetryAfter: retryAfterBusy,
+		Err: &callerapi.Error{
+			Status: http.StatusServiceUnavailable, Type: "server_error", Code: "not_run", Message: message,
+		},
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,248 @@
+// Package entry is the process in front of the upstreams. It serves callers
+// and operators, drives sequences over chains of stages, dispatches calls to
+// plain services and accepts configuration changes.
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegroute/nutmegroute/internal/callerapi"
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/configsync"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+// ErrNotReady is returned by Ready with the reason.
+var ErrNotReady = errors.New("entry: not ready")
+
+const (
+	// drainPoll is how often a leaving entry looks whether it is idle.
+	drainPoll = 20 * time.Millisecond
+	// headerTimeout bounds the reading of request headers.
+	headerTimeout = 5 * time.Second
+)
+
+// Options configure an Entry.
+type Options struct {
+	ID            string
+	FailureDomain string
+	// PeerListen is the address of the peer listener; Advertise is what peers
+	// are told. An empty Advertise means the listener's address.
+	PeerListen   string
+	Advertise    string
+	CallerListen string
+	Secret       string
+	// Seeds are peer addresses to dial besides the platform's list.
+	Seeds []string
+	// HeartbeatInterval is the time between heartbeats. Default 250 ms.
+	HeartbeatInterval time.Duration
+	// SuspectAfter is the silence after which a peer counts as lost. Default
+	// 1 s.
+	SuspectAfter time.Duration
+	// Star sends activations through the entry. Default false.
+	Star bool
+	// DrainDelay is the time during which a leaving entry still accepts
+	// requests. Default 2 s.
+	DrainDelay time.Duration
+	// DrainTimeout bounds a planned stop. Default 10 min.
+	DrainTimeout time.Duration
+
+	// Instances is the platform's list.
+	Instances instanceLister
+	// Follow feeds the replica from the platform's store until ctx ends.
+	Follow func(ctx context.Context, replica *config.Replica) error
+	// NewCallerServer makes the HTTP server of the callers' API.
+	NewCallerServer func(callerapi.Backend) (*http.Server, error)
+	// Metrics serves the metrics page.
+	Metrics http.Handler
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.HeartbeatInterval, 250*time.Millisecond)
+	setDefault(&o.SuspectAfter, time.Second)
+	setDefault(&o.DrainDelay, 2*time.Second)
+	setDefault(&o.DrainTimeout, 10*time.Minute)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Entry is one entry process.
+type Entry struct {
+	options        Options
+	node           *peer.Node
+	peerListener   net.Listener
+	callerListener net.Listener
+	directory      *upstream.Directory
+	membership     *membership
+	replica        *config.Replica
+	sync           *configsync.Syncer
+	chooser        chooser
+	sequences      *sequenceTable
+	leaving        atomic.Bool
+	closing        atomic.Bool
+}
+
+// New listens on the entry's addresses. It returns a listener's error.
+func New(options Options) (*Entry, error) {
+	options = options.withDefaults()
+	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable()}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.node = peer.NewNode(peer.Hello{
+		Role: peer.RoleEntry, ID: options.ID, Address: e.options.Advertise, FailureDomain: options.FailureDomain,
+	}, e, func() uint64 { return uint64(e.replica.Revision()) }, peer.Options{
+		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
+	})
+	e.directory = upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter})
+	e.chooser = &leastLoaded{directory: e.directory}
+	e.sync = configsync.New(e.node, e.replica, func(error) {})
+	e.membership = newMembership(e.node, e.directory, options.Instances, e.options.Advertise, options.FailureDomain, options.Seeds)
+	return e, nil
+}
+
+func (e *Entry) listen() error {
+	var err error
+	if e.peerListener, err = net.Listen("tcp", e.options.PeerListen); err != nil {
+		return err
+	}
+	if e.callerListener, err = net.Listen("tcp", e.options.CallerListen); err != nil {
+		_ = e.peerListener.Close()
+		return err
+	}
+	if e.options.Advertise == "" {
+		e.options.Advertise = e.peerListener.Addr().String()
+	}
+	return nil
+}
+
+// CallerAddress returns the address of the callers' API.
+func (e *Entry) CallerAddress() string { return e.callerListener.Addr().String() }
+
+// PeerAddress returns the address that peers are told.
+func (e *Entry) PeerAddress() string { return e.options.Advertise }
+
+// Run serves until ctx ends, then finishes what is in progress. It returns
+// nil after a graceful stop.
+func (e *Entry) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, e.node)
+	peerServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	callerServer, err := e.options.NewCallerServer(e)
+	if err != nil {
+		return err
+	}
+
+	var g errgroup.Group
+	g.Go(func() error { return serve(peerServer, e.peerListener) })
+	g.Go(func() error { return serve(callerServer, e.callerListener) })
+	g.Go(func() error { e.membership.Run(work); return nil })
+	g.Go(func() error { e.sync.Run(work); return nil })
+	g.Go(func() error { return e.options.Follow(work, e.replica) })
+
+	<-ctx.Done()
+	e.drain(callerServer)
+	stopWork()
+	e.node.Close()
+	_ = peerServer.Close()
+	return g.Wait()
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// drain stops accepting requests and waits for those in progress.
+func (e *Entry) drain(server *http.Server) {
+	e.leaving.Store(true)
+	time.Sleep(e.options.DrainDelay)
+	e.closing.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), e.options.DrainTimeout)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+	for e.sequences.len() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+}
+
+// draining reports whether new requests are refused.
+func (e *Entry) draining() bool { return e.closing.Load() }
+
+// Ready implements callerapi.Backend.
+func (e *Entry) Ready() error {
+	if e.leaving.Load() {
+		return errors.Join(ErrNotReady, errors.New("leaving"))
+	}
+	if e.replica.Revision() == 0 {
+		return errors.Join(ErrNotReady, errors.New("no configuration"))
+	}
+	return nil
+}
+
+// Authenticate implements callerapi.Backend.
+func (e *Entry) Authenticate(key string) (string, bool) {
+	digest := sha256.Sum256([]byte(key))
+	t, ok := e.replica.State().TeamByKeyHash(hex.EncodeToString(digest[:]))
+	return t.Name, ok
+}
+
+// Profiles implements callerapi.Backend.
+func (e *Entry) Profiles() []string {
+	var names []string
+	for _, p := range e.replica.State().Profiles() {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
+// Metrics implements callerapi.Backend.
+func (e *Entry) Metrics() http.Handler { return e.options.Metrics }
+
+// Connected implements peer.Handler.
+func (e *Entry) Connected(c *peer.Conn) { e.membership.connected(c) }
+
+// Disconnected implements peer.Handler.
+func (e *Entry) Disconnected(c *peer.Conn, _ error) {
+	e.membership.disconnected(c)
+	e.sync.Disconnected(c)
+	e.sequences.lost(c)
+}
+
+// HandleFrame implements peer.Handler.
+func (e *Entry) HandleFrame(c *peer.Conn, f peer.Frame) {
+	switch f := f.(type) {
+	case *peer.Heartbeat:
+		e.membership.heartbeat(c, f)
+	case *peer.SequenceOpened:
+		e.sequences.deliver(c, f.Request, f)
+	case *peer.Step:
+		e.sequences.deliver(c, f.Request, f)
+	case *peer.Token:
+		e.sequences.deliver(c, f.Request, f)
+	case *peer.SequenceFailed:
+		e.sequences.deliver(c, f.Request, f)
+	default:
+		e.sync.HandleFrame(c, f)
+	}
+}
--- /dev/null
+++ b/internal/entry/membership.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/platform"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+const (
+	// discoveryInterval is the time between reads of the platform's list.
+	discoveryInterval = time.Second
+	// redialInterval is the least time between two attempts to reach an
+	// address.
+	redialInterval = 250 * time.Millisecond
+	// sweepInterval is the time between looks for missing heartbeats.
+	sweepInterval = 100 * time.Millisecond
+	// memberDialTimeout bounds one attempt to reach an address.
+	memberDialTimeout = 2 * time.Second
+	// forgetAddressAfter is how long an address is dialed after the list last
+	// named it.
+	forgetAddressAfter = 10 * time.Minute
+)
+
+// instanceLister reads the platform's list of instances.
+type instanceLister interface {
+	Instances(ctx context.Context) ([]platform.Instance, error)
+}
+
+// membership keeps connections to the processes that the platform's list and
+// the seeds name, and feeds the directory from their heartbeats.
+type membership struct {
+	node      *peer.Node
+	directory *upstream.Directory
+	lister    instanceLister
+	self      string
+	seeds     []string
+	domain    string
+
+	mu        sync.Mutex
+	addresses map[string]*address
+	leaving   map[string]bool
+	domains   map[string]string
+}
+
+// address is a place to look for a process.
+type address struct {
+	lastListed time.Time
+	seed       bool
+	dialing    bool
+	lastDial   time.Time
+}
+
+func newMembership(node *peer.Node, directory *upstream.Directory, lister instanceLister, self, domain string, seeds []string) *membership {
+	m := &membership{
+		node: node, directory: directory, lister: lister, self: self, seeds: seeds, domain: domain,
+		addresses: make(map[string]*address), leaving: make(map[string]bool), domains: make(map[string]string),
+	}
+	for _, seed := range seeds {
+		m.addresses[seed] = &address{seed: true}
+	}
+	return m
+}
+
+// Run reads the list, dials, and looks for missing heartbeats until ctx ends.
+func (m *membership) Run(ctx context.Context) {
+	go m.discoveryLoop(ctx)
+	redial := time.NewTicker(redialInterval)
+	defer redial.Stop()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	m.dialAll(ctx)
+	for {
+		select {
+		case <-redial.C:
+			m.dialAll(ctx)
+		case <-sweep.C:
+			m.directory.Sweep(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (m *membership) discoveryLoop(ctx context.Context) {
+	ticker := time.NewTicker(discoveryInterval)
+	defer ticker.Stop()
+	for {
+		if instances, err := m.lister.Instances(ctx); err == nil {
+			m.install(instances)
+			m.dialAll(ctx)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// install takes a reading of the list. Instances that it no longer names are
+// kept for a while, because the list lags and has outages.
+func (m *membership) install(instances []platform.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, i := range instances {
+		if i.Address == m.self {
+			continue
+		}
+		m.domains[i.Address] = i.FailureDomain
+		a := m.addresses[i.Address]
+		if a == nil {
+			a = &address{}
+			m.addresses[i.Address] = a
+		}
+		a.lastListed = now
+		if i.State == platform.InstanceLeaving && i.Role == platform.RoleUpstream {
+			m.markLeaving(i)
+		}
+	}
+	for key, a := range m.addresses {
+		if !a.seed && now.Sub(a.lastListed) > forgetAddressAfter {
+			delete(m.addresses, key)
+		}
+	}
+}
+
+// markLeaving stops new work to an instance and tells its sidecar. The caller
+// holds m.mu.
+func (m *membership) markLeaving(i platform.Instance) {
+	_, _ = m.directory.MarkLeaving(upstream.InstanceID(i.ID))
+	c := m.node.Connection(i.Address)
+	if c == nil || m.leaving[c.Hello().Process] {
+		return
+	}
+	if c.Send(&peer.Drain{Reason: "the platform's list says leaving"}) == nil {
+		m.leaving[c.Hello().Process] = true
+	}
+}
+
+// dialAll dials every known address without a connection.
+func (m *membership) dialAll(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for key, a := range m.addresses {
+		if key == m.self || a.dialing || now.Sub(a.lastDial) < redialInterval || m.node.Connection(key) != nil {
+			continue
+		}
+		a.dialing = true
+		a.lastDial = now
+		go m.dial(ctx, key, a)
+	}
+}
+
+func (m *membership) dial(ctx context.Context, key string, a *address) {
+	dctx, cancel := context.WithTimeout(ctx, memberDialTimeout)
+	defer cancel()
+	_, _ = m.node.Dial(dctx, key)
+	m.mu.Lock()
+	a.dialing = false
+	m.mu.Unlock()
+}
+
+// connected adds a sidecar to the directory.
+func (m *membership) connected(c *peer.Conn) {
+	h := c.Hello()
+	m.mu.Lock()
+	m.domains[h.Address] = h.FailureDomain
+	m.mu.Unlock()
+	if h.Role != peer.RoleSidecar {
+		return
+	}
+	m.hello(c, h.Upstream)
+}
+
+func (m *membership) hello(c *peer.Conn, desc upstream.Descriptor) {
+	h := c.Hello()
+	m.directory.Hello(time.Now(), upstream.Hello{
+		ID: upstream.InstanceID(h.ID), Process: h.Process, Address: h.Address,
+		Domain: h.FailureDomain, Descriptor: desc, Revision: c.Revision(),
+	})
+}
+
+// heartbeat installs a sidecar's report.
+func (m *membership) heartbeat(c *peer.Conn, f *peer.Heartbeat) {
+	h := c.Hello()
+	if h.Role != peer.RoleSidecar {
+		return
+	}
+	if f.Upstream != nil {
+		m.hello(c, *f.Upstream)
+	}
+	delay := c.RTT() / 2
+	_, _ = m.directory.Heartbeat(time.Now(), upstream.InstanceID(h.ID), h.Process, upstream.Heartbeat{
+		State: f.State, Load: f.Load, LinkDelay: delay, Revision: c.Revision(),
+	})
+	links := m.directory.Links()
+	links.Observe(m.domain, h.FailureDomain, delay, 0)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, link := range f.Links {
+		if to, ok := m.domains[link.Address]; ok {
+			links.Observe(h.FailureDomain, to, time.Duration(link.RTTMicros/2)*time.Microsecond, 0)
+		}
+	}
+}
+
+// disconnected makes a sidecar suspect.
+func (m *membership) disconnected(c *peer.Conn) {
+	h := c.Hello()
+	if h.Role == peer.RoleSidecar {
+		_, _ = m.directory.Lost(upstream.InstanceID(h.ID), h.Process)
+	}
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -116,9 +116,10 @@
 	After uint64 `cbor:"1,keyasint"`
 }
 
-// ConfigChanges carries consecutive encoded changes, oldest first.
+// ConfigChanges carries consecutive changes as encoded by the configuration
+// package, oldest first.
 type ConfigChanges struct {
-	Changes [][]byte `cbor:"1,keyasint"`
+	Changes []byte `cbor:"1,keyasint"`
 }
 
 // ConfigSnapshot carries an encoded snapshot of the whole configuration.
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -16,7 +16,7 @@
 // Engine is the part of the engine client that a sidecar uses.
 type Engine interface {
 	Info(ctx context.Context) (engine.Info, error)
-	Batch(ctx context.Context, steps []engine.Step) ([]engine.StepResult, error)
+	Batch(ctx context.Context, batch engine.BatchRequest) (engine.BatchResponse, error)
 	Sequence(ctx context.Context, id string) (engine.SequenceStatus, error)
 	Cancel(ctx context.Context, id string) error
 	Order(ctx context.Context, order engine.Order) error
@@ -165,17 +165,17 @@
 	}
 	start := time.Now()
 	bctx, cancel := context.WithTimeout(ctx, batchTimeout)
-	results, err := s.engine.Batch(bctx, steps)
+	response, err := s.engine.Batch(bctx, engine.BatchRequest{Steps: steps})
 	cancel()
 	s.observeStep(time.Since(start))
 	for i, w := range batch {
 		switch {
 		case err != nil:
 			s.recoverStep(ctx, w, err)
-		case results[i].Error != "":
-			s.failed(w, peer.FailedEngine, results[i].Error)
+		case response.Results[i].Error != "":
+			s.failed(w, peer.FailedEngine, response.Results[i].Error)
 		default:
-			s.finished(w, results[i])
+			s.finished(w, response.Results[i])
 		}
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,6 +14,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/configsync"
 	"github.com/nutmegroute/nutmegroute/internal/engine"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
@@ -85,10 +87,11 @@
 	node     *peer.Node
 	listener net.Listener
 
+	replica   *config.Replica
+	sync      *configsync.Syncer
 	scheduler *scheduler
 	stage     *Stage
 	leaving   atomic.Bool
-	drain     chan struct{}
 	usable    atomic.Bool
 }
 
@@ -102,7 +105,7 @@
 	if options.Advertise == "" {
 		options.Advertise = listener.Addr().String()
 	}
-	s := &Sidecar{options: options, listener: listener, drain: make(chan struct{}, 1)}
+	s := &Sidecar{options: options, listener: listener, replica: config.NewReplica()}
 	s.node = peer.NewNode(peer.Hello{
 		Role:          peer.RoleSidecar,
 		ID:            options.ID,
@@ -114,13 +117,14 @@
 		PingInterval: options.HeartbeatInterval,
 		IdleTimeout:  options.SuspectAfter,
 	})
+	s.sync = configsync.New(s.node, s.replica, func(error) {})
 	return s, nil
 }
 
 // Address returns the peer address that others are told.
 func (s *Sidecar) Address() string { return s.options.Advertise }
 
-func (s *Sidecar) revision() uint64 { return 0 }
+func (s *Sidecar) revision() uint64 { return uint64(s.replica.Revision()) }
 
 // Run serves until ctx ends, then finishes what is in progress. It returns
 // nil after a graceful stop.
@@ -147,6 +151,7 @@
 	})
 	g.Go(func() error { s.scheduler.Run(work); return nil })
 	g.Go(func() error { s.heartbeatLoop(work); return nil })
+	g.Go(func() error { s.sync.Run(work); return nil })
 	g.Go(func() error { s.sweepLoop(work); return nil })
 
 	<-ctx.Done()
@@ -266,6 +271,7 @@
 
 // Disconnected implements peer.Handler.
 func (s *Sidecar) Disconnected(c *peer.Conn, _ error) {
+	s.sync.Disconnected(c)
 	s.stage.Disconnected(c, c.DialedAddress())
 }
 
@@ -282,5 +288,7 @@
 		s.stage.Close(f)
 	case *peer.Drain:
 		s.startLeaving()
+	default:
+		s.sync.HandleFrame(c, f)
 	}
 }
