--- /dev/null
+++ b/internal/config/codec.go
@@ -0,0 +1,137 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Limits of decoded input.
+const (
+	// MaxSnapshotBytes is the largest snapshot before compression, in bytes.
+	MaxSnapshotBytes = 16 << 20
+	// maxSnapshotObjects bounds a CBOR array.
+	maxSnapshotObjects = 1 << 17
+	// maxDecodeDepth is the nesting of a snapshot: map, array, map.
+	maxDecodeDepth = 4
+)
+
+// ErrDecode means that a peer or the store sent bytes that are not a valid
+// change list or snapshot.
+var ErrDecode = errors.New("config: invalid encoding")
+
+var encMode = sync.OnceValue(func() cbor.EncMode {
+	options := cbor.CanonicalEncOptions()
+	options.Time = cbor.TimeRFC3339Nano
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+})
+
+var decMode = sync.OnceValue(func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: maxSnapshotObjects,
+		MaxNestedLevels:  maxDecodeDepth,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+})
+
+// EncodeChanges encodes changes for the peer protocol.
+func EncodeChanges(changes []Change) ([]byte, error) {
+	return encMode().Marshal(changes)
+}
+
+// DecodeChanges decodes the result of EncodeChanges. It returns ErrDecode
+// unless the revisions are consecutive and every change has an id, kind and
+// name.
+func DecodeChanges(data []byte) ([]Change, error) {
+	var changes []Change
+	if err := decMode().Unmarshal(data, &changes); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDecode, err)
+	}
+	for i := range changes {
+		c := &changes[i]
+		if err := c.check(); err != nil {
+			return nil, err
+		}
+		if i > 0 && c.Revision != changes[i-1].Revision+1 {
+			return nil, fmt.Errorf("%w: revision %d follows %d", ErrDecode, c.Revision, changes[i-1].Revision)
+		}
+	}
+	return changes, nil
+}
+
+// check verifies the fields that every accepted change has.
+func (c *Change) check() error {
+	if c.Revision == 0 || c.ID == "" || c.Kind == "" || c.Name == "" || c.Base >= c.Revision {
+		return fmt.Errorf("%w: incomplete change at revision %d", ErrDecode, c.Revision)
+	}
+	return nil
+}
+
+// EncodeSnapshot encodes a snapshot for the peer protocol and the store. It is
+// compressed: JSON values repeat their field names, and the store limits a
+// value to 1 MB.
+func EncodeSnapshot(s Snapshot) ([]byte, error) {
+	raw, err := encMode().Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// DecodeSnapshot decodes the result of EncodeSnapshot. It returns ErrDecode if
+// the data is invalid or larger than MaxSnapshotBytes.
+func DecodeSnapshot(data []byte) (Snapshot, error) {
+	raw, err := decompress(data)
+	if err != nil {
+		return Snapshot{}, fmt.Errorf("%w: %w", ErrDecode, err)
+	}
+	var s Snapshot
+	if err := decMode().Unmarshal(raw, &s); err != nil {
+		return Snapshot{}, fmt.Errorf("%w: %w", ErrDecode, err)
+	}
+	for i := range s.Objects {
+		o := &s.Objects[i]
+		if o.Kind == "" || o.Name == "" || o.Version == 0 || o.Version > s.Revision {
+			return Snapshot{}, fmt.Errorf("%w: incomplete object %s %q", ErrDecode, o.Kind, o.Name)
+		}
+	}
+	return s, nil
+}
+
+func decompress(data []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, MaxSnapshotBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > MaxSnapshotBytes {
+		return nil, errors.New("snapshot too large")
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/internal/config/replica.go
@@ -0,0 +1,198 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+)
+
+// Limits of the changes a replica keeps for Since. Both keep the answer within
+// one frame body of the peer protocol (4 MiB).
+const (
+	// MaxRecentChanges is the number of changes kept.
+	MaxRecentChanges = 1024
+	// MaxRecentBytes is the size of the values kept, in bytes.
+	MaxRecentBytes = 2 << 20
+)
+
+var (
+	// ErrStale means the replica already has the revision or a higher one.
+	ErrStale = errors.New("config: revision isn't newer than the replica")
+	// ErrGap means changes between the replica and the change are missing.
+	ErrGap = errors.New("config: change leaves a gap in the log")
+	// ErrDiverged means two changes have the same revision. The create-if-absent
+	// write of the store rules this out; it indicates a faulty peer or store.
+	ErrDiverged = errors.New("config: two changes have the same revision")
+)
+
+// Replica is a process's copy of the configuration. It only moves forward. It
+// is safe for concurrent use; State needs no lock.
+type Replica struct {
+	state atomic.Pointer[State]
+
+	mu          sync.Mutex
+	recent      []Change
+	recentBytes int
+	subscribers map[chan struct{}]struct{}
+}
+
+// NewReplica returns an empty replica at revision 0.
+func NewReplica() *Replica {
+	r := &Replica{subscribers: map[chan struct{}]struct{}{}}
+	r.state.Store(NewState())
+	return r
+}
+
+// State returns the current configuration.
+func (r *Replica) State() *State { return r.state.Load() }
+
+// Revision returns the revision of the current configuration; 0 means that
+// none was obtained yet.
+func (r *Replica) Revision() Revision { return r.State().Revision() }
+
+// Apply appends the next change. It returns ErrStale if the replica already
+// has the revision, ErrDiverged if it has another change with that revision,
+// and ErrGap if earlier changes are missing.
+func (r *Replica) Apply(c Change) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.apply(c); err != nil {
+		return err
+	}
+	r.notify()
+	return nil
+}
+
+// ApplyAll applies changes in order and skips those that the replica already
+// has. It returns ErrGap or ErrDiverged and keeps what it applied before.
+func (r *Replica) ApplyAll(changes []Change) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.Revision()
+	var result error
+	for _, c := range changes {
+		if err := r.apply(c); err != nil && !errors.Is(err, ErrStale) {
+			result = err
+			break
+		}
+	}
+	if r.Revision() > before {
+		r.notify()
+	}
+	return result
+}
+
+func (r *Replica) apply(c Change) error {
+	current := r.State()
+	switch next := current.Revision() + 1; {
+	case c.Revision < next:
+		if known, ok := r.recentAt(c.Revision); ok && known.ID != c.ID {
+			return ErrDiverged
+		}
+		return ErrStale
+	case c.Revision > next:
+		return ErrGap
+	}
+	r.state.Store(current.With(c))
+	r.recent = append(r.recent, c)
+	r.recentBytes += c.size()
+	for len(r.recent) > MaxRecentChanges || r.recentBytes > MaxRecentBytes {
+		r.recentBytes -= r.recent[0].size()
+		r.recent[0] = Change{}
+		r.recent = r.recent[1:]
+	}
+	return nil
+}
+
+// changeOverheadBytes bounds the encoded fields of a change other than its
+// values: id, author and name have at most 128 bytes each.
+const changeOverheadBytes = 512
+
+func (c *Change) size() int { return len(c.Before) + len(c.After) + changeOverheadBytes }
+
+func (r *Replica) recentAt(revision Revision) (Change, bool) {
+	if len(r.recent) == 0 || revision < r.recent[0].Revision || revision > r.Revision() {
+		return Change{}, false
+	}
+	return r.recent[revision-r.recent[0].Revision], true
+}
+
+// Install replaces the configuration by a snapshot. It returns ErrStale unless
+// the snapshot has a higher revision.
+func (r *Replica) Install(s Snapshot) error {
+	if s.Revision <= r.Revision() {
+		return ErrStale
+	}
+	state := s.State()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.Revision <= r.Revision() {
+		return ErrStale
+	}
+	r.state.Store(state)
+	r.recent, r.recentBytes = nil, 0
+	r.notify()
+	return nil
+}
+
+// Since returns the changes after a revision, oldest first. It returns false
+// if the replica no longer keeps them all; the caller then sends a snapshot.
+func (r *Replica) Since(after Revision) ([]Change, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.Revision()
+	if after >= current {
+		return nil, true
+	}
+	if _, ok := r.recentAt(after + 1); !ok {
+		return nil, false
+	}
+	tail := r.recent[after+1-r.recent[0].Revision:]
+	return append([]Change(nil), tail...), true
+}
+
+// Change returns the recent change with the given revision.
+func (r *Replica) Change(revision Revision) (Change, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recentAt(revision)
+}
+
+// Subscribe returns a channel that receives after the revision has risen;
+// several changes may share one receive. cancel ends the subscription.
+func (r *Replica) Subscribe() (changed <-chan struct{}, cancel func()) {
+	ch := make(chan struct{}, 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.subscribers[ch] = struct{}{}
+	return ch, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.subscribers, ch)
+	}
+}
+
+// Wait returns once the replica has the revision or a higher one. It returns
+// ctx's error if ctx ends first.
+func (r *Replica) Wait(ctx context.Context, revision Revision) error {
+	changed, cancel := r.Subscribe()
+	defer cancel()
+	for r.Revision() < revision {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (r *Replica) notify() {
+	for ch := range r.subscribers {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/replica_test.go
@@ -0,0 +1,191 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegroute/nutmegroute/internal/validate"
+)
+
+var testTime = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func keyHash(n int) string { return fmt.Sprintf("%064x", n) }
+
+func teamProposal(id, name string, base Revision, keys ...int) Proposal {
+	hashes := []string{}
+	for _, k := range keys {
+		hashes = append(hashes, keyHash(k))
+	}
+	value, _ := json.Marshal(map[string]any{"name": name, "key_hashes": hashes})
+	return Proposal{ID: id, Author: "ama", Kind: KindTeam, Name: name, Base: base, Value: value}
+}
+
+// naive is the replica's model: it keeps every change and scans the log.
+type naive []Change
+
+func (n naive) owner(key int) string {
+	last := map[string]Change{}
+	for _, c := range n {
+		last[c.Name] = c
+	}
+	for name, c := range last {
+		if strings.Contains(string(c.After), keyHash(key)) {
+			return name
+		}
+	}
+	return ""
+}
+
+// Guards against a replica that skips, repeats or reverts changes, and against
+// errors in the copy-on-write state and its key index.
+func TestReplicaMatchesSequentialModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, log, at := NewState(), naive{}, 0
+		states := []*State{source}
+		r := NewReplica()
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": func(t *rapid.T) {
+				name := fmt.Sprintf("t%d", rapid.IntRange(0, 4).Draw(t, "name"))
+				old, _ := source.Object(KindTeam, name)
+				p := teamProposal(fmt.Sprintf("id%d", len(log)), name, old.Version, rapid.IntRange(0, 5).Draw(t, "key"))
+				if rapid.Bool().Draw(t, "delete") {
+					p.Value, p.Deleted = nil, true
+				}
+				c, err := source.Next(p, testTime)
+				if err != nil {
+					t.Skip(err)
+				}
+				source, log = source.With(c), append(log, c)
+				states = append(states, source)
+			},
+			"apply": func(t *rapid.T) {
+				if len(log) == 0 {
+					t.Skip("empty log")
+				}
+				i := rapid.IntRange(0, len(log)-1).Draw(t, "i")
+				err := r.Apply(log[i])
+				switch {
+				case i == at:
+					assert.NilError(t, err)
+					at++
+				case i < at:
+					assert.ErrorIs(t, err, ErrStale)
+				default:
+					assert.ErrorIs(t, err, ErrGap)
+				}
+			},
+			"install": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(states)-1).Draw(t, "i")
+				data, err := EncodeSnapshot(states[i].Snapshot())
+				assert.NilError(t, err)
+				s, err := DecodeSnapshot(data)
+				assert.NilError(t, err)
+				if err := r.Install(s); i > at {
+					assert.NilError(t, err)
+					at = i
+				} else {
+					assert.ErrorIs(t, err, ErrStale)
+				}
+			},
+			"": func(t *rapid.T) {
+				assert.Equal(t, r.Revision(), Revision(at))
+				for key := range 6 {
+					owner, _ := r.State().TeamByKeyHash(keyHash(key))
+					assert.Equal(t, owner.Name, log[:at].owner(key))
+				}
+				assert.DeepEqual(t, r.State().Teams(), states[at].Teams())
+				after := rapid.IntRange(0, at).Draw(t, "after")
+				if changes, ok := r.Since(Revision(after)); ok {
+					assert.DeepEqual(t, changes, append([]Change(nil), log[after:at]...))
+				}
+			},
+		})
+	})
+}
+
+// Guards against lost updates and against conflicts that name no one.
+func TestNextConflict(t *testing.T) {
+	s := NewState()
+	accept := func(p Proposal) {
+		c, err := s.Next(p, testTime)
+		assert.NilError(t, err)
+		s = s.With(c)
+	}
+	accept(teamProposal("c1", "a", 0, 1))
+	accept(Proposal{ID: "c2", Author: "kofi", Kind: KindTeam, Name: "a", Base: 1, Deleted: true})
+	// A repeated creation after a deletion must not be accepted again.
+	_, err := s.Next(teamProposal("c1", "a", 0, 1), testTime)
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.DeepEqual(t, *conflict, ConflictError{Kind: KindTeam, Name: "a", ChangeID: "c2", Author: "kofi", Revision: 2})
+	_, err = s.Next(Proposal{ID: "c3", Kind: KindTeam, Name: "a", Base: 2, Deleted: true}, testTime)
+	assert.ErrorIs(t, err, ErrNotFound)
+	accept(teamProposal("c4", "a", 2, 1))
+	_, err = s.Next(teamProposal("c5", "b", 0, 1), testTime)
+	assert.ErrorContains(t, err, `belongs to team "a"`)
+}
+
+// Guards against invalid objects entering the log.
+func TestProposalNormalize(t *testing.T) {
+	for _, tc := range []struct{ kind, value, field string }{
+		{"team", `{"name":"x","key_hashes":[]}`, ""},
+		{"team", `{"name":"x","key_hashes":["ab"]}`, "key_hashes"},
+		{"team", `{"name":"x","weight":-1}`, "weight"},
+		{"team", `{"name":"y"}`, "name"},
+		{"profile", `{"name":"x"}`, "model"},
+		{"profile", `{"name":"x","model":"m","wieght":1}`, "value"},
+		{"profile", `{"name":"x","model":"m"}{}`, "value"},
+		{"service", `{"name":"x","operations":[{"name":"o"},{"name":"o"}]}`, "operations.name"},
+		{"service", `{"name":"x","operations":[{"name":"o","deadline_ms":-1}]}`, "operations.deadline_ms"},
+		{"placement", `{"name":"x"}`, "version"},
+		{"other", `{"name":"x"}`, "kind"},
+	} {
+		_, err := Proposal{ID: "i", Author: "a", Kind: Kind(tc.kind), Name: "x", Value: json.RawMessage(tc.value)}.Normalize()
+		var invalid *validate.Error
+		if tc.field == "" {
+			assert.NilError(t, err)
+		} else if assert.Check(t, errors.As(err, &invalid), "%s: %v", tc.value, err) {
+			assert.Equal(t, invalid.Field, tc.field, tc.value)
+		}
+	}
+}
+
+// Guards against Since answers that exceed one frame of the peer protocol.
+func TestReplicaBoundsRecentChanges(t *testing.T) {
+	r := NewReplica()
+	for i := Revision(1); i <= MaxRecentChanges+10; i++ {
+		assert.NilError(t, r.Apply(Change{Revision: i, ID: fmt.Sprint(i), Kind: KindTeam, Name: "a", Base: i - 1, After: []byte(`{}`)}))
+	}
+	_, ok := r.Since(9)
+	assert.Assert(t, !ok)
+	changes, ok := r.Since(10)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(changes), MaxRecentChanges)
+	assert.ErrorIs(t, r.Apply(Change{Revision: 500, ID: "other"}), ErrDiverged)
+}
+
+// Guards against panics and unbounded work on frames from a faulty peer.
+func FuzzDecode(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if changes, err := DecodeChanges(data); err == nil {
+			encoded, err := EncodeChanges(changes)
+			assert.NilError(t, err)
+			_, err = DecodeChanges(encoded)
+			assert.NilError(t, err)
+		} else {
+			assert.ErrorIs(t, err, ErrDecode)
+		}
+		if s, err := DecodeSnapshot(data); err == nil {
+			assert.Equal(t, s.State().Revision(), s.Revision)
+		} else {
+			assert.ErrorIs(t, err, ErrDecode)
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/value.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/nutmegroute/nutmegroute/internal/profile"
+	"github.com/nutmegroute/nutmegroute/internal/team"
+	"github.com/nutmegroute/nutmegroute/internal/validate"
+)
+
+// value is the parsed value of an object, by kind.
+type value interface {
+	Validate() error
+	objectName() string
+	// stored returns what is written to the log: the operator's fields
+	// without defaults, so that a later release can revise a default.
+	stored() any
+	// inForce returns a copy with defaults.
+	inForce() any
+}
+
+type profileValue struct{ profile.Profile }
+type teamValue struct{ team.Team }
+type serviceValue struct{ Service }
+type placementValue struct{ Placement }
+
+func (v *profileValue) objectName() string   { return v.Name }
+func (v *profileValue) stored() any          { return v.Profile }
+func (v *profileValue) inForce() any         { return v.WithDefaults() }
+func (v *teamValue) objectName() string      { return v.Name }
+func (v *teamValue) stored() any             { return v.Team }
+func (v *teamValue) inForce() any            { return v.WithDefaults() }
+func (v *serviceValue) objectName() string   { return v.Name }
+func (v *serviceValue) stored() any          { return v.Service }
+func (v *serviceValue) inForce() any         { return v.WithDefaults() }
+func (v *placementValue) objectName() string { return v.Name }
+func (v *placementValue) stored() any        { return v.Placement }
+func (v *placementValue) inForce() any       { return v.WithDefaults() }
+
+// Kinds returns every kind of configuration object.
+func Kinds() []Kind { return []Kind{KindProfile, KindTeam, KindService, KindPlacement} }
+
+func newValue(kind Kind) (value, error) {
+	switch kind {
+	case KindProfile:
+		return &profileValue{}, nil
+	case KindTeam:
+		return &teamValue{}, nil
+	case KindService:
+		return &serviceValue{}, nil
+	case KindPlacement:
+		return &placementValue{}, nil
+	}
+	return nil, validate.Errorf("kind", "%q is not one of %q", kind, Kinds())
+}
+
+// parse reads a value from the log. It ignores fields it doesn't know, which a
+// newer release may have accepted.
+func parse(kind Kind, data []byte) (value, error) {
+	v, err := newValue(kind)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return nil, validate.Errorf("value", "%v", err)
+	}
+	return v, nil
+}
+
+// parseStrict reads and validates an operator's value. It refuses unknown
+// fields so that a misspelt field isn't silently ignored.
+func parseStrict(kind Kind, data []byte) (value, error) {
+	v, err := newValue(kind)
+	if err != nil {
+		return nil, err
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return nil, validate.Errorf("value", "%v", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, validate.Errorf("value", "must hold exactly one JSON object")
+	}
+	return v, v.Validate()
+}
--- /dev/null
+++ b/internal/profile/validate_test.go
@@ -0,0 +1,43 @@
+package profile
+
+import (
+	"errors"
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/validate"
+)
+
+// Guards against invalid profiles being accepted and against errors that name
+// the wrong field.
+func TestProfileValidate(t *testing.T) {
+	for _, tc := range []struct {
+		field string
+		edit  func(*Profile)
+	}{
+		{"", func(*Profile) {}},
+		{"name", func(p *Profile) { p.Name = "a/b" }},
+		{"model", func(p *Profile) { p.Model = "" }},
+		{"priority", func(p *Profile) { p.Priority = 10 }},
+		{"first_token_ms", func(p *Profile) { p.FirstTokenMillis = 60_001 }},
+		{"deadline_ms", func(p *Profile) { p.DeadlineMillis = -1 }},
+		{"worth", func(p *Profile) { p.Worth = math.NaN() }},
+		{"max_tokens", func(p *Profile) { p.MaxTokens = -1 }},
+		{"retry_budget", func(p *Profile) { p.RetryBudget = 1.1 }},
+		{"failure_domains", func(p *Profile) { p.FailureDomains = []string{"a", "a"} }},
+	} {
+		p := Profile{Name: "desk", Model: "desk-7b"}
+		tc.edit(&p)
+		err := p.Validate()
+		var invalid *validate.Error
+		if errors.As(err, &invalid) {
+			assert.Equal(t, invalid.Field, tc.field)
+		} else {
+			assert.NilError(t, err)
+			assert.Equal(t, tc.field, "")
+		}
+	}
+	assert.Equal(t, Profile{}.WithDefaults().FirstTokenMillis, DefaultFirstTokenMillis)
+}
