Add the upstream directory, ejection, lease and fencing rules

Cause: entries need the state and load of each upstream on the request path without a global lock, and rules for outliers and for orders to engines. Change: internal/upstream has a directory with indexes by model, group and service that change incrementally, states with missed heartbeats, per-group load sums, measured links between failure domains, rendezvous hashing over a group in logarithmic time, outlier ejection, leases and the fencing guard. The group key includes the model version, because a chain must not combine versions. An old load report counts as the group's mean: a discount towards 0, which was ruled out, draws work to the upstream that was silent longest. Leaving is final within one process, so a late heartbeat can't undo it. With 500 members, the loss of one moves less than a tenth of the prefixes; with up to 32 it moves only those of the lost member.

--- /dev/null
+++ b/internal/upstream/directory_test.go
@@ -0,0 +1,280 @@
+package upstream
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// known is the model's view of one instance.
+type known struct {
+	hello   Hello
+	state   State
+	drained bool
+	ejected bool
+	last    time.Time
+	load    Load
+}
+
+// Guards against indexes and sums that differ from a scan of all instances, a
+// leaving upstream that becomes usable again, and missed heartbeats that go
+// unnoticed.
+func TestDirectoryMatchesScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := NewDirectory(DirectoryConfig{})
+		model := map[InstanceID]*known{}
+		now := epoch
+		for range rapid.IntRange(1, 80).Draw(t, "operations") {
+			id := InstanceID(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "id")))
+			k, exists := model[id]
+			switch rapid.SampledFrom([]string{"hello", "beat", "beat", "beat", "lost", "leave", "eject", "sweep"}).Draw(t, "operation") {
+			case "hello":
+				h := Hello{ID: id, Process: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "process"), Domain: "d",
+					Descriptor: Descriptor{Kind: KindEngine, Model: "m", ModelLayers: 2,
+						Layers: pipeline.LayerRange{From: 0, To: rapid.IntRange(1, 2).Draw(t, "to")}}}
+				_, changes := d.Hello(now, h)
+				if exists && k.hello == h {
+					break
+				}
+				assert.Equal(t, len(changes) == 1, exists)
+				model[id] = &known{hello: h, state: StateJoining, last: now,
+					drained: exists && k.drained && k.hello.Process == h.Process}
+			case "beat":
+				hb := Heartbeat{State: rapid.SampledFrom([]State{StateJoining, StateReady, StateReady, StateLeaving}).Draw(t, "state"),
+					Load: Load{Queued: rapid.IntRange(0, 9).Draw(t, "queued"), StepMicros: int64(rapid.IntRange(0, 3).Draw(t, "step"))}}
+				_, err := d.Heartbeat(now, id, "p", hb)
+				if !exists || k.hello.Process != "p" {
+					assert.ErrorIs(t, err, ErrUnknownUpstream)
+					break
+				}
+				k.drained = k.drained || hb.State == StateLeaving
+				k.state, k.last, k.load = hb.State, now, hb.Load
+				if k.drained {
+					k.state = StateLeaving
+				}
+			case "lost":
+				if _, err := d.Lost(id, "p"); err == nil {
+					k.state = StateSuspect
+				}
+			case "leave":
+				if _, err := d.MarkLeaving(id); err == nil {
+					k.drained = true
+					if k.state != StateSuspect {
+						k.state = StateLeaving
+					}
+				}
+			case "eject":
+				if d.SetEjected(id, !exists || !k.ejected) == nil {
+					k.ejected = !k.ejected
+				}
+			case "sweep":
+				now = now.Add(time.Duration(rapid.SampledFrom([]int{100, 400, 30000}).Draw(t, "ms")) * time.Millisecond)
+				d.Sweep(now)
+				for id, k := range model {
+					if now.Sub(k.last) >= DefaultForgetAfter {
+						delete(model, id)
+					} else if now.Sub(k.last) >= DefaultSuspectAfter {
+						k.state = StateSuspect
+					}
+				}
+			}
+			checkIndex(t, d, model)
+		}
+	})
+}
+
+func checkIndex(t *rapid.T, d *Directory, model map[InstanceID]*known) {
+	assert.Equal(t, len(d.All()), len(model))
+	usable, load := map[int]int{}, map[int]int{}
+	groups := map[int]bool{}
+	for id, k := range model {
+		u, ok := d.Get(id)
+		assert.Assert(t, ok)
+		assert.Equal(t, u.Status().State, k.state)
+		to := k.hello.Descriptor.Layers.To
+		groups[to] = true
+		if k.state == StateReady && !k.ejected {
+			usable[to]++
+			load[to] += k.load.Queued
+		}
+	}
+	var indexed []*Group
+	if m := d.Model("m"); m != nil {
+		indexed = m.Groups
+	}
+	assert.Equal(t, len(indexed), len(groups))
+	for _, g := range indexed {
+		to := g.Key.Layers.To
+		assert.Equal(t, g.Usable(), usable[to])
+		assert.Equal(t, g.MeanReported(), float64(load[to])/float64(max(usable[to], 1)))
+	}
+}
+
+func engines(d *Directory, n int) []*Upstream {
+	var all []*Upstream
+	for i := range n {
+		id := InstanceID(fmt.Sprint("e", i))
+		u, _ := d.Hello(epoch, Hello{ID: id, Process: "p", Domain: "d", Descriptor: Descriptor{Kind: KindEngine, Model: "m"}})
+		_, _ = d.Heartbeat(epoch, id, "p", Heartbeat{State: StateReady})
+		all = append(all, u)
+	}
+	return all
+}
+
+// Guards against prefixes that move to other members when an unrelated member
+// leaves, and against an uneven spread, in groups above and below leafSize.
+func TestPreferredIsStableAndEven(t *testing.T) {
+	const keys = 20000
+	for _, n := range []int{3, 30, 500} {
+		d := NewDirectory(DirectoryConfig{})
+		g := engines(d, n)[0].Group()
+		all := func(*Upstream) bool { return true }
+		before := make([]*Upstream, keys)
+		count := map[*Upstream]int{}
+		for k := range before {
+			before[k] = g.Members().Preferred(uint64(k), all)
+			count[before[k]]++
+		}
+		assert.Equal(t, len(count), n)
+		mean := float64(keys) / float64(n)
+		for _, c := range count {
+			assert.Assert(t, math.Abs(float64(c)-mean) < 6*math.Sqrt(mean), "%d of mean %f", c, mean)
+		}
+		_, err := d.Remove("e1")
+		assert.NilError(t, err)
+		moved := 0
+		for k, u := range before {
+			if u.ID != "e1" && g.Members().Preferred(uint64(k), all) != u {
+				moved++
+			}
+		}
+		if n <= leafSize {
+			assert.Equal(t, moved, 0)
+		}
+		assert.Assert(t, moved <= keys/10, "%d members: %d keys moved", n, moved)
+	}
+}
+
+// Guards against data races and lost counts between requests, heartbeats and
+// membership changes.
+func TestDirectoryConcurrentUse(t *testing.T) {
+	d := NewDirectory(DirectoryConfig{})
+	all := engines(d, 8)
+	var wg sync.WaitGroup
+	for _, u := range all {
+		wg.Go(func() {
+			for i := range 200 {
+				u.Acquire()
+				_ = u.Group().Cost() + u.Group().MemberCost(u, epoch)
+				_, _ = d.Heartbeat(epoch, u.ID, "p", Heartbeat{State: StateReady, Load: Load{Queued: i}})
+				_ = d.SetEjected(u.ID, i%2 == 0)
+				u.Release()
+			}
+		})
+	}
+	wg.Wait()
+	d.Sweep(epoch)
+	assert.Equal(t, all[0].Group().Usable(), 8)
+	assert.Equal(t, all[0].Group().MeanLoad(), 199.0)
+}
+
+// Guards against ejecting more than a third of a pool, and against an ejection
+// that doesn't end or grow.
+func TestEjectorInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := NewEjector(EjectionConfig{})
+		now := epoch
+		var members []InstanceID
+		for range rapid.IntRange(1, 200).Draw(t, "operations") {
+			id := InstanceID(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "id")))
+			switch rapid.SampledFrom([]string{"pool", "fail", "fail", "fail", "slow", "fast", "tick"}).Draw(t, "operation") {
+			case "pool":
+				members = members[:0]
+				for i := range rapid.IntRange(0, 10).Draw(t, "size") {
+					members = append(members, InstanceID(fmt.Sprint(i)))
+				}
+				e.SetPool(now, "p", members)
+			case "fail":
+				for range DefaultConsecutiveFailures {
+					e.Failure(now, "p", id)
+				}
+			case "slow", "fast":
+				for range DefaultMinSamples {
+					e.Success("p", id, time.Duration(rapid.SampledFrom([]int{1, 100}).Draw(t, "ms"))*time.Millisecond)
+				}
+			case "tick":
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+				e.Tick(now)
+			}
+			assert.Assert(t, len(e.Ejected("p"))*3 <= len(members))
+		}
+		e.Tick(now.Add(DefaultMaxEjection))
+		e.SetPool(now, "p", nil)
+		assert.Equal(t, len(e.Ejected("p")), 0)
+	})
+}
+
+// Guards against ejection times that don't double and slow members that stay.
+func TestEjectorDurationsAndSlowness(t *testing.T) {
+	e := NewEjector(EjectionConfig{})
+	now := epoch
+	e.SetPool(now, "p", []InstanceID{"a", "b", "c"})
+	for _, want := range []time.Duration{1, 2, 4, 8} {
+		for range DefaultMinSamples {
+			e.Success("p", "a", time.Millisecond)
+			e.Success("p", "b", time.Millisecond)
+			e.Success("p", "c", 4*time.Millisecond)
+		}
+		ejected, _ := e.Tick(now)
+		assert.DeepEqual(t, ejected, []InstanceID{"c"})
+		_, readmitted := e.Tick(now.Add(want*time.Second - 1))
+		assert.Equal(t, len(readmitted), 0)
+		now = now.Add(want * time.Second)
+		_, readmitted = e.Tick(now)
+		assert.Assert(t, slices.Equal(readmitted, []InstanceID{"c"}))
+	}
+}
+
+// Guards against two holders that both pass their check, and against orders
+// with an outdated number or before the current number is known.
+func TestLeaseAndFencing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := LeaseRecord{Holder: "a", DurationMillis: int64(rapid.IntRange(1500, 20000).Draw(t, "duration"))}
+		roundTrip := time.Duration(rapid.IntRange(0, 5000).Draw(t, "round trip")) * time.Millisecond
+		written := epoch.Add(time.Duration(rapid.Int64Range(0, int64(roundTrip)).Draw(t, "written")))
+		l := NewLease(r, 7, epoch)
+		var w LeaseWatch
+		w.Observe(written, r, 7)
+		w.Observe(written.Add(time.Second), r, 7)
+		at := epoch.Add(time.Duration(rapid.IntRange(0, 30000).Draw(t, "at")) * time.Millisecond)
+		_, err := l.Check(at)
+		version, expired := w.Expired(at)
+		assert.Equal(t, version, uint64(7))
+		assert.Assert(t, err != nil || !expired)
+		assert.Equal(t, err == nil, at.Sub(epoch) < r.Duration()-LeaseMargin)
+
+		var g FencingGuard
+		assert.ErrorIs(t, g.Admit(math.MaxUint64), ErrFencingUnknown)
+		highest := rapid.Uint64Range(0, 9).Draw(t, "current")
+		g.Learn(highest)
+		for range 20 {
+			n := rapid.Uint64Range(0, 9).Draw(t, "number")
+			if err := g.Admit(n); n < highest {
+				assert.ErrorIs(t, err, ErrFencingStale)
+			} else {
+				assert.NilError(t, err)
+				highest = n
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/upstream/links.go
@@ -0,0 +1,91 @@
+package upstream
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// LocalDelay and RemoteDelay are assumed within and between failure
+	// domains until a link is measured.
+	LocalDelay  = 200 * time.Microsecond
+	RemoteDelay = time.Millisecond
+	// DefaultRate is assumed until a link's rate is measured, in bytes per
+	// second.
+	DefaultRate = 125e6
+	// linkSmoothing is the weight of a new measurement.
+	linkSmoothing = 0.3
+)
+
+// Link is the measured link from one failure domain to another.
+type Link struct {
+	// Delay is one-way.
+	Delay time.Duration
+	// Rate is in bytes per second.
+	Rate float64
+}
+
+// Time returns the time to move the given number of bytes over the link.
+func (l Link) Time(bytes int) time.Duration {
+	return l.Delay + time.Duration(float64(bytes)/l.Rate*float64(time.Second))
+}
+
+// Links holds the links between failure domains. Reads take no lock.
+type Links struct {
+	mu    sync.Mutex
+	links atomic.Pointer[map[linkKey]Link]
+}
+
+type linkKey struct{ from, to string }
+
+// NewLinks returns an empty table.
+func NewLinks() *Links {
+	l := &Links{}
+	l.links.Store(&map[linkKey]Link{})
+	return l
+}
+
+// Observe adds a measurement. A delay or rate that is not positive is ignored.
+// A probe that timed out is reported with the timeout as its delay.
+func (l *Links) Observe(from, to string, delay time.Duration, rate float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := *l.links.Load()
+	key := linkKey{from, to}
+	link, known := old[key]
+	if !known {
+		link = l.Get(from, to)
+	}
+	smooth := func(old, sample float64) float64 {
+		if !known {
+			return sample
+		}
+		return old + linkSmoothing*(sample-old)
+	}
+	if delay > 0 {
+		link.Delay = time.Duration(smooth(float64(link.Delay), float64(delay)))
+	}
+	if rate > 0 {
+		link.Rate = smooth(link.Rate, rate)
+	}
+	// The table has one entry per pair of failure domains (484 at the design
+	// size), so a copy per measurement is cheap and readers need no lock.
+	next := make(map[linkKey]Link, len(old)+1)
+	for k, v := range old {
+		next[k] = v
+	}
+	next[key] = link
+	l.links.Store(&next)
+}
+
+// Get returns a link, or the assumed values if it was never measured.
+func (l *Links) Get(from, to string) Link {
+	if link, ok := (*l.links.Load())[linkKey{from, to}]; ok {
+		return link
+	}
+	if from == to {
+		return Link{Delay: LocalDelay, Rate: DefaultRate}
+	}
+	return Link{Delay: RemoteDelay, Rate: DefaultRate}
+}
