Run calls to plain services under claims

Cause: plain services need the same path as engines, with claims made by the process that executes. Change: the sidecar splits into a worker for engines and one for plain services; the entry dispatches calls, repeats lost ones under the same key and answers not-run only after a cancellation in the record.

--- /dev/null
+++ b/internal/entry/calls.go
@@ -0,0 +1,293 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/callerapi"
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/operation"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+const (
+	// cancelGrace is how long after the deadline an entry tries to find out
+	// whether a call ran.
+	cancelGrace = 2 * time.Second
+	// redispatchPause is the wait before the upstreams of a service are tried
+	// again after all have been tried.
+	redispatchPause = 100 * time.Millisecond
+)
+
+// pendingCall waits for the answer to one dispatch.
+type pendingCall struct {
+	conn   *peer.Conn
+	result chan *peer.CallResult
+}
+
+// callTable routes results to the dispatches of this process.
+type callTable struct {
+	mu   sync.Mutex
+	byID map[callID]*pendingCall
+}
+
+type callID struct {
+	request request.ID
+	attempt request.Attempt
+}
+
+func newCallTable() *callTable {
+	return &callTable{byID: make(map[callID]*pendingCall)}
+}
+
+func (t *callTable) add(id callID, conn *peer.Conn) *pendingCall {
+	p := &pendingCall{conn: conn, result: make(chan *peer.CallResult, 1)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.byID[id] = p
+	return p
+}
+
+func (t *callTable) remove(id callID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byID, id)
+}
+
+func (t *callTable) deliver(f *peer.CallResult) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.byID[callID{f.Request, f.Attempt}]; p != nil {
+		select {
+		case p.result <- f:
+		default:
+		}
+	}
+}
+
+// lost ends the dispatches over a connection without a result.
+func (t *callTable) lost(c *peer.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.byID {
+		if p.conn == c {
+			select {
+			case p.result <- nil:
+			default:
+			}
+		}
+	}
+}
+
+// call drives one request to a plain service.
+type call struct {
+	entry    *Entry
+	request  callerapi.ServiceRequest
+	op       config.Operation
+	deadline time.Time
+
+	attempt  request.Attempt
+	excluded map[upstream.InstanceID]bool
+	// uncertain is true once a dispatch ended without an answer, so that the
+	// call may have run or may still run.
+	uncertain bool
+	refusal   string
+}
+
+// NeedsKey implements callerapi.Backend.
+func (e *Entry) NeedsKey(service, op string) bool {
+	s, ok := e.replica.State().Service(service)
+	return !ok || !s.Operation(op).Idempotent
+}
+
+// Call implements callerapi.Backend.
+func (e *Entry) Call(ctx context.Context, r callerapi.ServiceRequest) callerapi.ServiceResult {
+	s, ok := e.replica.State().Service(r.Service)
+	if !ok {
+		return callerapi.ServiceResult{Result: refused(http.StatusNotFound, "service_not_found", "the service does not exist")}
+	}
+	if e.draining() {
+		return callerapi.ServiceResult{Result: busy("the entry is leaving")}
+	}
+	op := s.Operation(r.Operation)
+	c := &call{
+		entry: e, request: r, op: op,
+		deadline: time.Now().Add(time.Duration(op.DeadlineMillis) * time.Millisecond),
+		excluded: make(map[upstream.InstanceID]bool),
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	e.openCalls.Add(1)
+	defer e.openCalls.Add(-1)
+	return c.run(ctx)
+}
+
+// run dispatches until one dispatch is answered. Repeating a non-idempotent
+// call is safe, because the sidecars claim it under the same key.
+func (c *call) run(ctx context.Context) callerapi.ServiceResult {
+	for ctx.Err() == nil {
+		u := c.choose()
+		if u == nil {
+			if !c.uncertain || !c.pause(ctx) {
+				break
+			}
+			continue
+		}
+		c.excluded[u.ID] = true
+		result := c.dispatch(ctx, u)
+		switch {
+		case result == nil:
+			c.uncertain = true
+		case result.Refused != "":
+			c.refusal = "refused: " + string(result.Refused)
+		case result.Outcome == request.OutcomeNotRun && c.uncertain:
+			// This dispatch did not run, but an earlier one may have.
+			c.refusal = result.Detail
+			return c.settle(ctx)
+		default:
+			return serviceResult(result)
+		}
+	}
+	return c.settle(ctx)
+}
+
+// pause waits before all upstreams are tried again.
+func (c *call) pause(ctx context.Context) bool {
+	clear(c.excluded)
+	select {
+	case <-time.After(redispatchPause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// choose returns the usable upstream with the least work in flight, or nil.
+func (c *call) choose() *upstream.Upstream {
+	group := c.entry.directory.Service(c.request.Service)
+	if group == nil {
+		return nil
+	}
+	var best *upstream.Upstream
+	for _, u := range group.Members().List {
+		if c.excluded[u.ID] {
+			continue
+		}
+		if best == nil || u.InFlight() < best.InFlight() {
+			best = u
+		}
+	}
+	return best
+}
+
+// dispatch sends the call to one upstream. It returns nil if the call was
+// sent and no answer came.
+func (c *call) dispatch(ctx context.Context, u *upstream.Upstream) *peer.CallResult {
+	notSent := &peer.CallResult{Outcome: request.OutcomeNotRun, Refused: peer.RefusedUnavailable}
+	conn := c.entry.node.Connection(u.Address)
+	if conn == nil {
+		return notSent
+	}
+	u.Acquire()
+	defer u.Release()
+	c.attempt++
+	id := callID{c.request.ID, c.attempt}
+	pending := c.entry.calls.add(id, conn)
+	defer c.entry.calls.remove(id)
+	if err := conn.Send(c.frame()); err != nil {
+		return notSent
+	}
+	select {
+	case result := <-pending.result:
+		return result
+	case <-conn.Done():
+		return nil
+	case <-ctx.Done():
+		_ = conn.Send(&peer.CancelCall{Request: id.request, Attempt: id.attempt})
+		return nil
+	}
+}
+
+func (c *call) frame() *peer.Call {
+	return &peer.Call{
+		Request: c.request.ID, Attempt: c.attempt, Team: c.request.Team,
+		Service: c.request.Service, Operation: c.request.Operation, Method: c.request.Method,
+		ContentType: c.request.ContentType, Body: c.request.Body,
+		NonIdempotent: !c.op.Idempotent, IdempotencyKey: c.request.IdempotencyKey,
+		DeadlineMillis: time.Until(c.deadline).Milliseconds(),
+	}
+}
+
+// settle decides the outcome when no dispatch was answered. It answers not-run
+// only with proof.
+func (c *call) settle(ctx context.Context) callerapi.ServiceResult {
+	if !c.uncertain {
+		message := c.refusal
+		if message == "" {
+			message = "no usable upstream of the service"
+		}
+		return callerapi.ServiceResult{Result: busy(message)}
+	}
+	if c.op.Idempotent {
+		return callerapi.ServiceResult{Result: unknownOutcome("no upstream answered in time")}
+	}
+	r, err := operation.NewRequest(c.request.ID, c.request.Team, c.request.Service, c.request.Operation,
+		c.request.IdempotencyKey, c.request.Body)
+	if err != nil {
+		return callerapi.ServiceResult{Result: unknownOutcome(err.Error())}
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline.Add(cancelGrace))
+	defer cancel()
+	return settledResult(c.entry.options.Canceller.Cancel(ctx, r))
+}
+
+func settledResult(done operation.Result) callerapi.ServiceResult {
+	switch done.Outcome {
+	case request.OutcomeNotRun:
+		return callerapi.ServiceResult{Result: busy("the call was cancelled before it ran")}
+	case request.OutcomeCompleted, request.OutcomeFailed:
+		return callerapi.ServiceResult{
+			Result: callerapi.Result{Outcome: done.Outcome},
+			Status: done.Response.Status, ContentType: done.Response.ContentType, Body: done.Response.Body,
+			Replayed: done.Replayed,
+		}
+	}
+	return callerapi.ServiceResult{Result: unknownOutcome("it is not known whether the call ran")}
+}
+
+func unknownOutcome(message string) callerapi.Result {
+	return callerapi.Result{
+		Outcome: request.OutcomeUnknown,
+		Err: &callerapi.Error{
+			Status: http.StatusGatewayTimeout, Type: "server_error", Code: "unknown_outcome", Message: message,
+		},
+	}
+}
+
+// serviceResult turns a sidecar's answer into the caller's.
+func serviceResult(f *peer.CallResult) callerapi.ServiceResult {
+	switch {
+	case f.Conflict:
+		return callerapi.ServiceResult{Result: refused(http.StatusUnprocessableEntity, "idempotency_key_reused",
+			"the idempotency key was used with another body")}
+	case f.Outcome == request.OutcomeNotRun:
+		return callerapi.ServiceResult{Result: busy(f.Detail)}
+	case f.Outcome == request.OutcomeUnknown:
+		return callerapi.ServiceResult{Result: unknownOutcome(f.Detail)}
+	}
+	return callerapi.ServiceResult{
+		Result: callerapi.Result{Outcome: f.Outcome},
+		Status: f.Status, ContentType: f.ContentType, Body: f.Body, Replayed: f.Replayed,
+	}
+}
+
+// canceller obtains the right to answer not-run.
+type canceller interface {
+	Cancel(ctx context.Context, r operation.Request) operation.Result
+}
+
+var _ canceller = (*operation.Canceller)(nil)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,6 +61,8 @@
 	Instances instanceLister
 	// Follow feeds the replica from the platform's store until ctx ends.
 	Follow func(ctx context.Context, replica *config.Replica) error
+	// Canceller obtains the right to answer not-run for a call.
+	Canceller canceller
 	// NewCallerServer makes the HTTP server of the callers' API.
 	NewCallerServer func(callerapi.Backend) (*http.Server, error)
 	// Metrics serves the metrics page.
@@ -94,6 +96,8 @@
 	sync           *configsync.Syncer
 	chooser        chooser
 	sequences      *sequenceTable
+	calls          *callTable
+	openCalls      atomic.Int64
 	leaving        atomic.Bool
 	closing        atomic.Bool
 }
@@ -101,7 +105,7 @@
 // New listens on the entry's addresses. It returns a listener's error.
 func New(options Options) (*Entry, error) {
 	options = options.withDefaults()
-	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable()}
+	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable(), calls: newCallTable()}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -181,7 +185,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.options.DrainTimeout)
 	defer cancel()
 	_ = server.Shutdown(ctx)
-	for e.sequences.len() > 0 && ctx.Err() == nil {
+	for e.sequences.len()+int(e.openCalls.Load()) > 0 && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
 }
@@ -227,6 +231,7 @@
 	e.membership.disconnected(c)
 	e.sync.Disconnected(c)
 	e.sequences.lost(c)
+	e.calls.lost(c)
 }
 
 // HandleFrame implements peer.Handler.
@@ -242,6 +247,8 @@
 		e.sequences.deliver(c, f.Request, f)
 	case *peer.SequenceFailed:
 		e.sequences.deliver(c, f.Request, f)
+	case *peer.CallResult:
+		e.calls.deliver(f)
 	default:
 		e.sync.HandleFrame(c, f)
 	}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -149,9 +149,6 @@
 	FirstTokenMillis int64 `cbor:"9,keyasint,omitempty"`
 	// PromptTokens is the estimated length of the prompt.
 	PromptTokens int `cbor:"10,keyasint,omitempty"`
-	// Resumed is true if the sequence may be opened although the upstream is
-	// leaving: the stage already holds it.
-	Resumed bool `cbor:"11,keyasint,omitempty"`
 }
 
 // RefusalReason says why work was refused before it ran.
--- /dev/null
+++ b/internal/sidecar/calls.go
@@ -0,0 +1,186 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/operation"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/service"
+)
+
+// Service is the part of the plain service's client that a sidecar uses.
+type Service interface {
+	Call(ctx context.Context, r service.Request) (service.Response, error)
+}
+
+// callID identifies one dispatch of a request.
+type callID struct {
+	request request.ID
+	attempt request.Attempt
+}
+
+// calls runs the calls to one plain service.
+type calls struct {
+	service Service
+	claimer *operation.Claimer
+	limit   int
+	slots   chan struct{}
+
+	mu     sync.Mutex
+	active map[callID]context.CancelFunc
+	// draining is closed to new calls once set.
+	draining bool
+}
+
+// newCalls returns calls with at most running calls at the service and limit
+// calls in all.
+func newCalls(s Service, claimer *operation.Claimer, running, limit int) *calls {
+	return &calls{
+		service: s, claimer: claimer, limit: limit,
+		slots:  make(chan struct{}, running),
+		active: make(map[callID]context.CancelFunc),
+	}
+}
+
+// Start runs a call in the background and answers on entry's connection.
+func (c *calls) Start(entry *peer.Conn, call *peer.Call) {
+	id := callID{call.Request, call.Attempt}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(call.DeadlineMillis)*time.Millisecond)
+	if reason := c.admit(id, cancel); reason != "" {
+		cancel()
+		_ = entry.Send(&peer.CallResult{
+			Request: call.Request, Attempt: call.Attempt, Outcome: request.OutcomeNotRun, Refused: reason,
+		})
+		return
+	}
+	go func() {
+		result := c.run(ctx, call)
+		// The answer is queued before the call counts as ended, so that a
+		// leaving sidecar does not close the connection in between.
+		_ = entry.Send(result)
+		cancel()
+		c.remove(id)
+	}()
+}
+
+func (c *calls) admit(id callID, cancel context.CancelFunc) peer.RefusalReason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.draining:
+		return peer.RefusedLeaving
+	case len(c.active) >= c.limit:
+		return peer.RefusedQueueFull
+	case c.active[id] != nil:
+		// The dispatch was duplicated on the way; the first one answers.
+		return peer.RefusedStaleAttempt
+	}
+	c.active[id] = cancel
+	return ""
+}
+
+func (c *calls) remove(id callID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.active, id)
+}
+
+// Cancel ends a call that nobody waits for. A call that is already at the
+// service runs to its end, so that its outcome is recorded.
+func (c *calls) Cancel(f *peer.CancelCall) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cancel := c.active[callID{f.Request, f.Attempt}]; cancel != nil {
+		cancel()
+	}
+}
+
+// Drain refuses new calls.
+func (c *calls) Drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+}
+
+// Len returns the number of calls in progress.
+func (c *calls) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.active)
+}
+
+func (c *calls) run(ctx context.Context, call *peer.Call) *peer.CallResult {
+	result := &peer.CallResult{Request: call.Request, Attempt: call.Attempt}
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	case <-ctx.Done():
+		result.Outcome, result.Refused = request.OutcomeNotRun, peer.RefusedDeadline
+		return result
+	}
+	if call.NonIdempotent {
+		c.runClaimed(ctx, call, result)
+	} else {
+		c.runPlain(ctx, call, result)
+	}
+	return result
+}
+
+// runPlain runs a call that may be repeated.
+func (c *calls) runPlain(ctx context.Context, call *peer.Call, result *peer.CallResult) {
+	response, err := c.service.Call(ctx, serviceRequest(call))
+	switch {
+	case err == nil:
+		result.Outcome = outcomeOf(response.Status)
+		result.Status, result.ContentType, result.Body = response.Status, response.ContentType, response.Body
+	case errors.Is(err, service.ErrNotSent):
+		result.Outcome, result.Refused, result.Detail = request.OutcomeNotRun, peer.RefusedUnavailable, err.Error()
+	default:
+		result.Outcome, result.Detail = request.OutcomeUnknown, err.Error()
+	}
+}
+
+func outcomeOf(status int) request.Outcome {
+	if status >= 400 {
+		return request.OutcomeFailed
+	}
+	return request.OutcomeCompleted
+}
+
+// runClaimed runs a call under a claim in the platform's store.
+func (c *calls) runClaimed(ctx context.Context, call *peer.Call, result *peer.CallResult) {
+	r, err := operation.NewRequest(call.Request, call.Team, call.Service, call.Operation, call.IdempotencyKey, call.Body)
+	if err != nil {
+		result.Outcome, result.Detail = request.OutcomeNotRun, err.Error()
+		return
+	}
+	done := c.claimer.Run(ctx, r, func(ctx context.Context) (operation.Response, error) {
+		response, err := c.service.Call(ctx, serviceRequest(call))
+		if errors.Is(err, service.ErrNotSent) {
+			return operation.Response{}, errors.Join(operation.ErrNotSent, err)
+		}
+		return operation.Response{Status: response.Status, ContentType: response.ContentType, Body: response.Body}, err
+	})
+	fillResult(result, done)
+}
+
+func fillResult(result *peer.CallResult, done operation.Result) {
+	result.Outcome = done.Outcome
+	result.Replayed = done.Replayed
+	result.Conflict = errors.Is(done.Err, operation.ErrBodyMismatch)
+	if done.Err != nil {
+		result.Detail = done.Err.Error()
+	}
+	result.Status, result.ContentType, result.Body = done.Response.Status, done.Response.ContentType, done.Response.Body
+}
+
+func serviceRequest(call *peer.Call) service.Request {
+	return service.Request{
+		ID: call.Request, Operation: call.Operation, Method: call.Method,
+		IdempotencyKey: call.IdempotencyKey, ContentType: call.ContentType, Body: call.Body,
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,13 +17,12 @@
 	"github.com/nutmegroute/nutmegroute/internal/config"
 	"github.com/nutmegroute/nutmegroute/internal/configsync"
 	"github.com/nutmegroute/nutmegroute/internal/engine"
+	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
-func attemptString(a request.Attempt) string { return strconv.FormatUint(uint64(a), 10) }
-
 const (
 	// drainPoll is how often a leaving sidecar looks whether it is idle.
 	drainPoll = 20 * time.Millisecond
@@ -32,8 +31,10 @@
 	// infoRetry is the wait before an engine that did not answer is asked
 	// again.
 	infoRetry = 200 * time.Millisecond
-	// stopTimeout bounds the shutdown of the HTTP server after a drain.
-	stopTimeout = time.Second
+	// headerTimeout bounds the reading of request headers.
+	headerTimeout = 5 * time.Second
+	// recordTimeout bounds the wait for outcomes of claims at a planned stop.
+	recordTimeout = 30 * time.Second
 )
 
 // Options configure a Sidecar.
@@ -52,9 +53,10 @@
 	SuspectAfter time.Duration
 	// Group names the upstreams ordered under one lease.
 	Group string
-	// MaxBatch bounds the steps of one engine call; 0 takes the engine's.
+	// MaxBatch bounds the steps of one engine call, or the calls at a plain
+	// service. Default 32; an engine's own limit is never exceeded.
 	MaxBatch int
-	// MaxQueue bounds the waiting steps. Default 4096.
+	// MaxQueue bounds the waiting steps or calls. Default 1024.
 	MaxQueue int
 	// OutputLogBytes bounds the output log of one sequence. Default 64 MiB.
 	OutputLogBytes int
@@ -63,12 +65,17 @@
 
 	// Engine is set for an upstream that is a model engine.
 	Engine Engine
+	// Service, ServiceName and Claimer are set for a plain service.
+	Service     Service
+	ServiceName string
+	Claimer     *operation.Claimer
 }
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.HeartbeatInterval, 250*time.Millisecond)
 	setDefault(&o.SuspectAfter, time.Second)
-	setDefault(&o.MaxQueue, 4096)
+	setDefault(&o.MaxBatch, 32)
+	setDefault(&o.MaxQueue, 1024)
 	setDefault(&o.OutputLogBytes, 64<<20)
 	setDefault(&o.DrainTimeout, 10*time.Minute)
 	return o
@@ -81,18 +88,18 @@
 	}
 }
 
+func attemptString(a request.Attempt) string { return strconv.FormatUint(uint64(a), 10) }
+
 // Sidecar is one sidecar process.
 type Sidecar struct {
 	options  Options
 	node     *peer.Node
 	listener net.Listener
-
-	replica   *config.Replica
-	sync      *configsync.Syncer
-	scheduler *scheduler
-	stage     *Stage
-	leaving   atomic.Bool
-	usable    atomic.Bool
+	replica  *config.Replica
+	sync     *configsync.Syncer
+	leaving  atomic.Bool
+	// worker is set before the listener is served.
+	worker worker
 }
 
 // New listens on the peer address. It returns the listener's error.
@@ -107,15 +114,9 @@
 	}
 	s := &Sidecar{options: options, listener: listener, replica: config.NewReplica()}
 	s.node = peer.NewNode(peer.Hello{
-		Role:          peer.RoleSidecar,
-		ID:            options.ID,
-		Address:       options.Advertise,
-		FailureDomain: options.FailureDomain,
-		State:         upstream.StateJoining,
-	}, s, s.revision, peer.Options{
-		Secret:       options.Secret,
-		PingInterval: options.HeartbeatInterval,
-		IdleTimeout:  options.SuspectAfter,
+		Role: peer.RoleSidecar, ID: options.ID, Address: options.Advertise, FailureDomain: options.FailureDomain,
+	}, s, func() uint64 { return uint64(s.replica.Revision()) }, peer.Options{
+		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
 	})
 	s.sync = configsync.New(s.node, s.replica, func(error) {})
 	return s, nil
@@ -124,23 +125,17 @@
 // Address returns the peer address that others are told.
 func (s *Sidecar) Address() string { return s.options.Advertise }
 
-func (s *Sidecar) revision() uint64 { return uint64(s.replica.Revision()) }
-
 // Run serves until ctx ends, then finishes what is in progress. It returns
 // nil after a graceful stop.
 func (s *Sidecar) Run(ctx context.Context) error {
-	info, err := s.waitForEngine(ctx)
-	if err != nil {
-		_ = s.listener.Close()
-		return nil
+	if err := s.startWorker(ctx); err != nil {
+		return s.listener.Close()
 	}
-	s.setUpstream(info)
-
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, s.node)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: stopTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 
 	var g errgroup.Group
 	g.Go(func() error {
@@ -149,10 +144,9 @@
 		}
 		return nil
 	})
-	g.Go(func() error { s.scheduler.Run(work); return nil })
+	g.Go(func() error { s.worker.run(work); return nil })
 	g.Go(func() error { s.heartbeatLoop(work); return nil })
 	g.Go(func() error { s.sync.Run(work); return nil })
-	g.Go(func() error { s.sweepLoop(work); return nil })
 
 	<-ctx.Done()
 	s.startLeaving()
@@ -163,6 +157,25 @@
 	return g.Wait()
 }
 
+// startWorker makes the worker for the upstream. It waits for an engine to
+// answer and returns the error of ctx.
+func (s *Sidecar) startWorker(ctx context.Context) error {
+	if s.options.Service != nil {
+		s.worker = s.newServiceWorker()
+	} else {
+		info, err := s.waitForEngine(ctx)
+		if err != nil {
+			return err
+		}
+		s.worker = s.newEngineWorker(info)
+	}
+	s.node.UpdateHello(func(h *peer.Hello) {
+		h.Upstream = s.worker.descriptor()
+		h.State = s.state()
+	})
+	return nil
+}
+
 // waitForEngine asks the engine until it answers or ctx ends.
 func (s *Sidecar) waitForEngine(ctx context.Context) (engine.Info, error) {
 	for {
@@ -178,39 +191,35 @@
 	}
 }
 
-func (s *Sidecar) setUpstream(info engine.Info) {
+func (s *Sidecar) newEngineWorker(info engine.Info) *engineWorker {
 	maxBatch := s.options.MaxBatch
-	if maxBatch == 0 {
-		maxBatch = max(info.MaxBatch, 1)
+	if info.MaxBatch > 0 {
+		maxBatch = min(maxBatch, info.MaxBatch)
 	}
-	desc := upstream.Descriptor{
-		Kind:        upstream.KindEngine,
-		Group:       s.options.Group,
-		Model:       info.Model,
-		ModelLayers: info.ModelLayers,
-		Layers:      info.Layers,
-		Accelerator: info.Accelerator,
-		MaxBatch:    maxBatch,
-		Version:     info.Version,
+	scheduler := newScheduler(s.options.Engine, upstream.Descriptor{
+		Kind: upstream.KindEngine, Group: s.options.Group,
+		Model: info.Model, ModelLayers: info.ModelLayers, Layers: info.Layers,
+		Accelerator: info.Accelerator, MaxBatch: maxBatch, Version: info.Version,
+	}, maxBatch, s.options.MaxQueue)
+	stage := newStage(s.node, scheduler, s.options.OutputLogBytes, time.Now)
+	return &engineWorker{scheduler: scheduler, stage: stage}
+}
+
+func (s *Sidecar) newServiceWorker() *serviceWorker {
+	return &serviceWorker{
+		desc: upstream.Descriptor{
+			Kind: upstream.KindService, Group: s.options.Group,
+			Service: s.options.ServiceName, MaxBatch: s.options.MaxBatch,
+		},
+		calls: newCalls(s.options.Service, s.options.Claimer, s.options.MaxBatch, s.options.MaxQueue),
 	}
-	s.scheduler = newScheduler(s.options.Engine, desc, maxBatch, s.options.MaxQueue)
-	s.stage = newStage(s.node, s.scheduler, s.options.OutputLogBytes, time.Now)
-	s.usable.Store(true)
-	s.node.UpdateHello(func(h *peer.Hello) {
-		h.Upstream = desc
-		h.State = s.state()
-	})
 }
 
 func (s *Sidecar) state() upstream.State {
-	switch {
-	case s.leaving.Load():
+	if s.leaving.Load() {
 		return upstream.StateLeaving
-	case !s.usable.Load():
-		return upstream.StateJoining
-	default:
-		return upstream.StateReady
 	}
+	return upstream.StateReady
 }
 
 // startLeaving refuses new work from now on and announces it.
@@ -218,22 +227,31 @@
 	if s.leaving.Swap(true) {
 		return
 	}
+	s.worker.drain()
 	s.node.UpdateHello(func(h *peer.Hello) { h.State = upstream.StateLeaving })
 	s.node.Broadcast(s.heartbeat(), peer.RoleEntry)
 }
 
-// waitIdle waits until no sequence is open, up to the drain timeout.
+// waitIdle waits until no work is in progress, up to the drain timeout.
 func (s *Sidecar) waitIdle() {
-	deadline := time.Now().Add(s.options.DrainTimeout)
-	for s.stage.Len() > 0 && time.Now().Before(deadline) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.options.DrainTimeout)
+	defer cancel()
+	for !s.worker.idle() && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
+	if s.options.Claimer != nil {
+		rctx, cancel := context.WithTimeout(ctx, recordTimeout)
+		defer cancel()
+		_ = s.options.Claimer.Wait(rctx)
+	}
+	for _, c := range s.node.Conns() {
+		c.Flush(ctx)
+	}
 }
 
 func (s *Sidecar) heartbeat() *peer.Heartbeat {
-	load := s.scheduler.load()
-	load.Sequences = s.stage.Len()
-	return &peer.Heartbeat{State: s.state(), Load: load, Links: s.node.Links()}
+	load, teams := s.worker.load()
+	return &peer.Heartbeat{State: s.state(), Load: load, Teams: teams, Links: s.node.Links()}
 }
 
 func (s *Sidecar) heartbeatLoop(ctx context.Context) {
@@ -249,19 +267,6 @@
 	}
 }
 
-func (s *Sidecar) sweepLoop(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			s.stage.Sweep()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Connected implements peer.Handler.
 func (s *Sidecar) Connected(c *peer.Conn) {
 	if c.Hello().Role == peer.RoleEntry {
@@ -272,23 +277,16 @@
 // Disconnected implements peer.Handler.
 func (s *Sidecar) Disconnected(c *peer.Conn, _ error) {
 	s.sync.Disconnected(c)
-	s.stage.Disconnected(c, c.DialedAddress())
+	s.worker.disconnected(c)
 }
 
 // HandleFrame implements peer.Handler.
 func (s *Sidecar) HandleFrame(c *peer.Conn, f peer.Frame) {
-	switch f := f.(type) {
-	case *peer.OpenSequence:
-		s.stage.Open(c, f, s.leaving.Load())
-	case *peer.ResumeSequence:
-		s.stage.Resume(f)
-	case *peer.Step:
-		s.stage.Step(f)
-	case *peer.CloseSequence:
-		s.stage.Close(f)
-	case *peer.Drain:
+	if _, ok := f.(*peer.Drain); ok {
 		s.startLeaving()
-	default:
+		return
+	}
+	if !s.worker.handle(c, f) {
 		s.sync.HandleFrame(c, f)
 	}
 }
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -51,6 +51,8 @@
 	mu        sync.Mutex
 	sequences map[request.ID]*sequence
 	closed    map[request.ID]closedSequence
+	// draining refuses sequences that the stage does not hold yet.
+	draining bool
 }
 
 // closedSequence remembers a sequence that ended.
@@ -77,9 +79,9 @@
 // Open binds the stage to an attempt and answers with the cursor, after the
 // connection to the next stage stands. A sequence that the stage holds is
 // accepted even while the upstream is leaving.
-func (s *Stage) Open(entry *peer.Conn, open *peer.OpenSequence, leaving bool) {
+func (s *Stage) Open(entry *peer.Conn, open *peer.OpenSequence) {
 	if open.Downstream == "" || s.node.Connection(open.Downstream) != nil {
-		s.bind(entry, open, leaving)
+		s.bind(entry, open)
 		return
 	}
 	go func() {
@@ -92,15 +94,15 @@
 			})
 			return
 		}
-		s.bind(entry, open, leaving)
+		s.bind(entry, open)
 	}()
 }
 
-func (s *Stage) bind(entry *peer.Conn, open *peer.OpenSequence, leaving bool) {
+func (s *Stage) bind(entry *peer.Conn, open *peer.OpenSequence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answer := &peer.SequenceOpened{Request: open.Request, Attempt: open.Attempt}
-	seq, reason := s.bindLocked(entry, open, leaving)
+	seq, reason := s.bindLocked(entry, open)
 	answer.Refused = reason
 	if seq != nil {
 		answer.Next = seq.cursor.Next()
@@ -108,13 +110,13 @@
 	_ = entry.Send(answer)
 }
 
-func (s *Stage) bindLocked(entry *peer.Conn, open *peer.OpenSequence, leaving bool) (*sequence, peer.RefusalReason) {
+func (s *Stage) bindLocked(entry *peer.Conn, open *peer.OpenSequence) (*sequence, peer.RefusalReason) {
 	seq := s.sequences[open.Request]
 	if seq == nil {
 		if closed, ok := s.closed[open.Request]; ok && open.Attempt <= closed.attempt {
 			return nil, peer.RefusedStaleAttempt
 		}
-		if leaving {
+		if s.draining {
 			return nil, peer.RefusedLeaving
 		}
 		if reason := s.scheduler.admit(open); reason != "" {
@@ -329,6 +331,13 @@
 	}
 }
 
+// Drain refuses sequences that the stage does not hold yet.
+func (s *Stage) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
 // Sweep removes orphans, sequences past their deadline, and old memories of
 // closed sequences.
 func (s *Stage) Sweep() {
--- /dev/null
+++ b/internal/sidecar/worker.go
@@ -0,0 +1,114 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+// worker is the part of a sidecar that depends on the kind of its upstream.
+type worker interface {
+	// descriptor says what the upstream is.
+	descriptor() upstream.Descriptor
+	// run works until ctx ends.
+	run(ctx context.Context)
+	// handle handles a frame and reports whether it was meant for the worker.
+	handle(c *peer.Conn, f peer.Frame) bool
+	// disconnected is called when a connection has ended.
+	disconnected(c *peer.Conn)
+	// drain refuses new work from now on.
+	drain()
+	// idle reports whether no work is in progress.
+	idle() bool
+	// load reports the load of the upstream and of each team.
+	load() (upstream.Load, []peer.TeamLoad)
+}
+
+// engineWorker serves a model engine.
+type engineWorker struct {
+	scheduler *scheduler
+	stage     *Stage
+}
+
+func (w *engineWorker) descriptor() upstream.Descriptor { return w.scheduler.descriptor() }
+
+func (w *engineWorker) run(ctx context.Context) {
+	go w.sweepLoop(ctx)
+	w.scheduler.Run(ctx)
+}
+
+func (w *engineWorker) sweepLoop(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			w.stage.Sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *engineWorker) handle(c *peer.Conn, f peer.Frame) bool {
+	switch f := f.(type) {
+	case *peer.OpenSequence:
+		w.stage.Open(c, f)
+	case *peer.ResumeSequence:
+		w.stage.Resume(f)
+	case *peer.Step:
+		w.stage.Step(f)
+	case *peer.CloseSequence:
+		w.stage.Close(f)
+	default:
+		return false
+	}
+	return true
+}
+
+func (w *engineWorker) disconnected(c *peer.Conn) { w.stage.Disconnected(c, c.DialedAddress()) }
+
+func (w *engineWorker) drain() { w.stage.Drain() }
+
+func (w *engineWorker) idle() bool { return w.stage.Len() == 0 }
+
+func (w *engineWorker) load() (upstream.Load, []peer.TeamLoad) {
+	load := w.scheduler.load()
+	load.Sequences = w.stage.Len()
+	return load, nil
+}
+
+// serviceWorker serves a plain service.
+type serviceWorker struct {
+	desc  upstream.Descriptor
+	calls *calls
+}
+
+func (w *serviceWorker) descriptor() upstream.Descriptor { return w.desc }
+
+// run waits until the outcomes of all claims are recorded.
+func (w *serviceWorker) run(ctx context.Context) { <-ctx.Done() }
+
+func (w *serviceWorker) handle(c *peer.Conn, f peer.Frame) bool {
+	switch f := f.(type) {
+	case *peer.Call:
+		w.calls.Start(c, f)
+	case *peer.CancelCall:
+		w.calls.Cancel(f)
+	default:
+		return false
+	}
+	return true
+}
+
+func (w *serviceWorker) disconnected(*peer.Conn) {}
+
+func (w *serviceWorker) drain() { w.calls.Drain() }
+
+func (w *serviceWorker) idle() bool { return w.calls.Len() == 0 }
+
+func (w *serviceWorker) load() (upstream.Load, []peer.TeamLoad) {
+	return upstream.Load{Running: w.calls.Len()}, nil
+}
