Add the engine and service clients and the engine stand-in

Cause: sidecars need clients that separate "nothing was sent" from "sent, no response", and tests need an engine whose answer can be computed independently and which shows a layer that ran twice. Change: both clients use httptrace to learn whether a connection was obtained, and follow no redirects. The service client reuses no connection: net/http repeats a request with an Idempotency-Key header by itself when a reused connection breaks. Treating every failure as possibly sent was ruled out, because then a refused connection could not be answered as not-run. The engine stand-in hashes values through its layer range with xxhash, batches in simulated time, and counts runs by request id, position and layer. Protecting it against repeated steps was ruled out, because it would hide faults of the sidecar. SequenceStatus gains Pending: without it a lost response can't be told from a step that is still running.

--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -27,7 +27,8 @@
 }
 
 // Step is the input of one position of one sequence. The first stage gets
-// Prompt at position 0 and Token afterwards; later stages get Activation.
+// Prompt at position 0 and Token afterwards; later stages get Activation. A
+// step of higher Priority goes first.
 type Step struct {
 	Sequence   string           `json:"sequence"`
 	Position   request.Position `json:"position"`
@@ -69,6 +70,9 @@
 	Next request.Position `json:"next"`
 	// Last is the result of position Next-1.
 	Last *StepResult `json:"last,omitempty"`
+	// Pending is the number of accepted steps that have not finished. While it
+	// is above zero, Next can still advance without another request.
+	Pending int `json:"pending,omitempty"`
 }
 
 // LoadReport answers GET /v1/load. It lags behind the engine's real load.
@@ -88,6 +92,12 @@
 	Evicted bool   `json:"evicted,omitempty"`
 }
 
+// CacheEventsResponse answers GET /v1/cache-events?after=NUMBER with the
+// events that have a higher number, in order.
+type CacheEventsResponse struct {
+	Events []CacheEvent `json:"events"`
+}
+
 // OrderKind names what an order asks of an engine.
 type OrderKind string
 
--- /dev/null
+++ b/internal/service/client_test.go
@@ -0,0 +1,69 @@
+package service
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a call that may have run being reported as not sent, which
+// would let a purchase run twice, and against unbounded responses.
+func TestCall(t *testing.T) {
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	answer := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	tests := []struct {
+		name      string
+		ctx       context.Context
+		operation string
+		handler   http.HandlerFunc
+		want      error
+		status    int
+		calls     int32
+	}{
+		{"answered", t.Context(), "buy", answer(200, "ok"), nil, 200, 1},
+		{"failing status", t.Context(), "buy", answer(500, "no"), nil, 500, 1},
+		{"redirect", t.Context(), "buy", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/x", http.StatusTemporaryRedirect) }, nil, http.StatusTemporaryRedirect, 1},
+		{"refused", t.Context(), "buy", nil, ErrNotSent, 0, 0},
+		{"invalid operation", t.Context(), "..", answer(200, ""), ErrNotSent, 0, 0},
+		{"cancelled before sending", cancelled, "buy", answer(200, ""), ErrNotSent, 0, 0},
+		{"dropped", t.Context(), "buy", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, ErrNoResponse, 0, 1},
+		{"truncated", t.Context(), "buy", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "9") }, ErrNoResponse, 200, 1},
+		{"too large", t.Context(), "buy", answer(200, strings.Repeat("x", MaxResponseBytes+1)), ErrResponseTooLarge, 200, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var calls atomic.Int32
+			h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				calls.Add(1)
+				tt.handler(w, r)
+			}))
+			defer h.Close()
+			if tt.handler == nil {
+				h.Close()
+			}
+			// A connection that the client's owner keeps open must not be reused.
+			owner := h.Client()
+			if response, err := owner.Get(h.URL); err == nil {
+				response.Body.Close()
+			}
+			calls.Store(0)
+			got, err := NewClient(h.URL, owner).Call(tt.ctx, Request{Operation: tt.operation, IdempotencyKey: "k"})
+			assert.ErrorIs(t, err, tt.want)
+			assert.Equal(t, got.Status, tt.status)
+			assert.Equal(t, calls.Load(), tt.calls)
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,227 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	api "github.com/nutmegroute/nutmegroute/internal/engine"
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+const testLayers = 6
+
+var longPrompt = strings.Repeat("the spring of a gramophone slips ", 8) + "[[tokens=20]]"
+
+func start(t *testing.T, c Config) (*Server, *api.Client) {
+	c.Model, c.ModelLayers = "desk", testLayers
+	if c.Layers.Len() == 0 {
+		c.Layers = pipeline.LayerRange{To: testLayers}
+	}
+	s := NewServer(c)
+	h := httptest.NewServer(s.Handler())
+	t.Cleanup(func() { h.Close(); s.Close() })
+	return s, api.NewClient(h.URL, nil)
+}
+
+// generate drives a sequence over a chain of engines from one position on.
+func generate(t *testing.T, chain []*api.Client, id, prompt string, from request.Position, token, limit int) (texts []string) {
+	for p := from; limit == 0 || int(p) < limit; p++ {
+		step := api.Step{Sequence: id, Position: p, Prompt: prompt, Token: token}
+		var result api.StepResult
+		for _, c := range chain {
+			response, err := c.Batch(t.Context(), api.BatchRequest{Steps: []api.Step{step}})
+			assert.NilError(t, err)
+			result = response.Results[0]
+			assert.Equal(t, result.Error, "")
+			step = api.Step{Sequence: id, Position: p, Activation: result.Activation}
+		}
+		if result.End {
+			return texts
+		}
+		texts, token = append(texts, result.Text), result.Token
+	}
+	return texts
+}
+
+// Guards against answers that depend on how layers are divided or on the
+// prefix cache, and against false reports of duplicates and gaps.
+func TestChainMatchesReference(t *testing.T) {
+	for _, bounds := range [][]int{{0, 6}, {0, 1, 6}, {0, 2, 4, 6}} {
+		t.Run(fmt.Sprint(bounds), func(t *testing.T) {
+			var servers []*Server
+			var chain []*api.Client
+			for i := range len(bounds) - 1 {
+				s, c := start(t, Config{Layers: pipeline.LayerRange{From: bounds[i], To: bounds[i+1]}, CacheLimit: 64})
+				servers, chain = append(servers, s), append(chain, c)
+			}
+			for i, prompt := range []string{"", "a loose bell", longPrompt, longPrompt + " again", longPrompt, "[[tokens=0]]"} {
+				for _, limit := range []int{0, 5} {
+					got := generate(t, chain, fmt.Sprintf("r%d-%d/1", i, limit), prompt, 0, 0, limit)
+					want := Reference("desk", testLayers, prompt, limit)
+					assert.Equal(t, strings.Join(got, ""), strings.Join(want, ""))
+				}
+			}
+			for _, s := range servers {
+				report := s.Runs()
+				assert.Equal(t, report.DuplicateCount+report.GapCount, 0)
+				assert.Equal(t, report.Requests, 12)
+			}
+		})
+	}
+}
+
+// Guards against the counters missing a layer that ran twice or was skipped.
+func TestRunsReportDuplicatesAndGaps(t *testing.T) {
+	tests := []struct {
+		name             string
+		positions        []request.Position
+		duplicates, gaps int
+	}{
+		{"in order", []request.Position{0, 1, 2}, 0, 0},
+		{"repeated step", []request.Position{0, 1, 1}, testLayers, 0},
+		{"repeated prompt", []request.Position{0, 0, 1}, testLayers, 0},
+		{"skipped step", []request.Position{0, 2}, 0, testLayers},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, c := start(t, Config{})
+			var batch api.BatchRequest
+			for _, p := range tt.positions {
+				batch.Steps = append(batch.Steps, api.Step{Sequence: "r/1", Position: p, Prompt: "x"})
+			}
+			_, err := c.Batch(t.Context(), batch)
+			assert.NilError(t, err)
+			report := s.Runs()
+			assert.Equal(t, report.DuplicateCount, tt.duplicates)
+			assert.Equal(t, report.GapCount, tt.gaps)
+			assert.Equal(t, report.LayerRuns, uint64(testLayers*len(tt.positions)))
+		})
+	}
+}
+
+// Guards against attempts of one request being counted apart.
+func TestRunsJoinAttempts(t *testing.T) {
+	s, _ := start(t, Config{})
+	for _, id := range []string{"r/1", "r/2"} {
+		_, err := s.Batch(t.Context(), []api.Step{{Sequence: id, Prompt: "x"}})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, s.Runs().DuplicateCount, testLayers)
+	assert.DeepEqual(t, s.RequestRuns("r").Sequences, []string{"r/1", "r/2"})
+}
+
+// Guards against imported KV cache continuing with other tokens than the
+// original sequence, or being reported as a gap.
+func TestKVImportContinuesSequence(t *testing.T) {
+	_, a := start(t, Config{})
+	s, b := start(t, Config{})
+	head := generate(t, []*api.Client{a}, "r/1", longPrompt, 0, 0, 7)
+	status, err := a.Sequence(t.Context(), "r/1")
+	assert.NilError(t, err)
+	assert.Equal(t, status.Next, request.Position(7))
+	kv, err := a.ExportKV(t.Context(), "r/1")
+	assert.NilError(t, err)
+	assert.NilError(t, b.ImportKV(t.Context(), "r/1", kv))
+	tail := generate(t, []*api.Client{b}, "r/1", "", 7, status.Last.Token, 0)
+	assert.DeepEqual(t, append(head, tail...), Reference("desk", testLayers, longPrompt, 0))
+	assert.Equal(t, s.Runs().GapCount, 0)
+	assert.ErrorIs(t, b.ImportKV(t.Context(), "r/2", []byte("?")), api.ErrRejected)
+}
+
+// Guards against the cache skipping too much, and against events that name
+// other prefixes than PromptPrefixes or never report evictions.
+func TestPrefixCache(t *testing.T) {
+	s, c := start(t, Config{CacheLimit: 3 * cacheBlock})
+	prefixes := PromptPrefixes("desk", longPrompt)
+	assert.Equal(t, len(prefixes), 3)
+	var cached []int
+	for i, prompt := range []string{longPrompt, longPrompt, strings.Repeat("other ", 16), longPrompt} {
+		results, err := s.Batch(t.Context(), []api.Step{{Sequence: fmt.Sprint(i), Prompt: prompt}})
+		assert.NilError(t, err)
+		cached = append(cached, results[0].CachedTokens)
+	}
+	assert.DeepEqual(t, cached, []int{0, 48, 0, 0})
+	events, err := c.CacheEvents(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, events[0].Prefix, prefixes[0])
+	assert.Assert(t, slices.ContainsFunc(events, func(e api.CacheEvent) bool { return e.Evicted }))
+}
+
+// Guards against lost or late cache events being published.
+func TestCacheEventsLateAndLost(t *testing.T) {
+	for _, c := range []Config{{EventDelay: time.Hour}, {EventLoss: 1}} {
+		c.CacheLimit = 64
+		s, client := start(t, c)
+		_, err := s.Batch(t.Context(), []api.Step{{Sequence: "r", Prompt: longPrompt}})
+		assert.NilError(t, err)
+		events, err := client.CacheEvents(t.Context(), 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(events), 0)
+	}
+}
+
+// Guards against the queue ignoring priority, and against steps that run after
+// their sequence was cancelled or their caller left.
+func TestQueueOrderAndCancel(t *testing.T) {
+	s, c := start(t, Config{MaxBatch: 1})
+	s.SetControls(Controls{Frozen: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	post := func(ctx context.Context, id string, priority, waiting int) {
+		go func() { _, _ = s.Batch(ctx, []api.Step{{Sequence: id, Priority: priority}}) }()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if s.Load().Running == 1 && s.Load().Waiting == waiting {
+				return poll.Success()
+			}
+			return poll.Continue("load %+v", s.Load())
+		}, poll.WithDelay(time.Millisecond))
+	}
+	post(t.Context(), "running", 0, 0)
+	post(t.Context(), "low", 0, 1)
+	post(ctx, "abandoned", 5, 2)
+	post(t.Context(), "high", 5, 3)
+	s.mu.Lock()
+	var order []string
+	for _, w := range s.queue {
+		order = append(order, w.sequence)
+	}
+	s.mu.Unlock()
+	assert.DeepEqual(t, order, []string{"abandoned", "high", "low"})
+	cancel()
+	assert.Assert(t, s.Cancel("running") && s.Cancel("low"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, ok := s.Sequence("abandoned"); ok {
+			return poll.Continue("still pending")
+		}
+		return poll.Success()
+	})
+	s.SetControls(Controls{})
+	results, err := s.Batch(t.Context(), []api.Step{{Sequence: "after"}})
+	assert.NilError(t, err)
+	assert.Equal(t, results[0].Error, "")
+	_, err = c.Sequence(t.Context(), "high")
+	assert.NilError(t, err)
+	assert.Equal(t, s.Runs().Requests, 2)
+}
+
+// Guards against the two kinds of engines treating fencing numbers alike.
+func TestFencing(t *testing.T) {
+	for _, ignore := range []bool{false, true} {
+		s, c := start(t, Config{IgnoreFencing: ignore})
+		assert.NilError(t, c.Order(t.Context(), api.Order{Fencing: 5, Kind: api.OrderLoadVersion, Version: "v2"}))
+		err := c.Order(t.Context(), api.Order{Fencing: 4, Kind: api.OrderSetRole, Layers: &pipeline.LayerRange{From: 1, To: 2}})
+		assert.Equal(t, err == nil, ignore)
+		assert.Equal(t, errors.Is(err, api.ErrStaleFencing), !ignore)
+		assert.Equal(t, s.Info().Layers.From == 1, ignore)
+		assert.Equal(t, s.Info().Version, "v2")
+	}
+}
