--- /dev/null
+++ b/internal/operation/key.go
@@ -0,0 +1,164 @@
+// Package operation guards non-idempotent calls to plain services. A record in
+// the platform's store is the only arbiter of whether an operation may run:
+// sidecars claim it, entries cancel request ids in it, and both decide by
+// conditional writes alone, never by elapsed time.
+package operation
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+const (
+	// KeyPrefix is the store prefix of all operation records.
+	KeyPrefix = "operations/"
+	// MaxKeyBytes is the greatest length of an idempotency key, in bytes.
+	MaxKeyBytes = 255
+	// MaxNameBytes bounds the names of teams, services and operations, in bytes.
+	MaxNameBytes = 255
+	// Retention is the time for which the outcome of an operation is kept,
+	// counted from the time in its UUIDv7 key.
+	Retention = 30 * 24 * time.Hour
+	// ClockAllowance is how far the time in a key may lie ahead of the local
+	// clock. Callers' clocks are not under our control.
+	ClockAllowance = 5 * time.Minute
+	// RemovalMargin is the time between the last use of a key and the removal
+	// of its record. A record may only be removed when every process refuses
+	// its key, so the margin must exceed the greatest difference between the
+	// wall clocks of two processes.
+	RemovalMargin = 24 * time.Hour
+)
+
+var (
+	// ErrInvalidKey means an idempotency key is empty, too long or not printable.
+	ErrInvalidKey = errors.New("operation: idempotency key must be 1 to 255 printable ASCII characters without outer spaces")
+	// ErrKeyExpired means the key is older than the retention period.
+	ErrKeyExpired = errors.New("operation: idempotency key is older than the retention period")
+	// ErrKeyFromFuture means the key's time lies too far ahead of the clock.
+	ErrKeyFromFuture = errors.New("operation: time of the idempotency key lies in the future")
+	// ErrInvalidRequest means a field of a Request is missing or malformed.
+	ErrInvalidRequest = errors.New("operation: invalid request")
+)
+
+// Key identifies an operation: team, service and digest of the idempotency key.
+type Key struct {
+	Team    string
+	Service string
+	// Digest is the hexadecimal SHA-256 digest of the idempotency key.
+	Digest string
+	// Time is the time in a UUIDv7 key, with millisecond resolution. It is
+	// zero for other keys; their records are never removed.
+	Time time.Time
+}
+
+// NewKey validates its arguments. It returns ErrInvalidKey or
+// ErrInvalidRequest. Only a UUIDv7 in its canonical form of 36 characters
+// carries a time.
+func NewKey(team, service, idempotencyKey string) (Key, error) {
+	if !validName(team) || !validName(service) {
+		return Key{}, ErrInvalidRequest
+	}
+	if len(idempotencyKey) == 0 || len(idempotencyKey) > MaxKeyBytes || !printable(idempotencyKey) ||
+		strings.TrimSpace(idempotencyKey) != idempotencyKey {
+		return Key{}, ErrInvalidKey
+	}
+	k := Key{Team: team, Service: service, Digest: Digest([]byte(idempotencyKey))}
+	if u, err := uuid.Parse(idempotencyKey); err == nil && len(idempotencyKey) == 36 &&
+		u.Version() == 7 && u.Variant() == uuid.RFC4122 {
+		ms := int64(0)
+		for _, b := range u[:6] {
+			ms = ms<<8 | int64(b)
+		}
+		k.Time = time.UnixMilli(ms)
+	}
+	return k, nil
+}
+
+// Path returns the store key of the record. Names are escaped so that no two
+// pairs of team and service share a path.
+func (k Key) Path() string {
+	return KeyPrefix + url.PathEscape(k.Team) + "/" + url.PathEscape(k.Service) + "/" + k.Digest
+}
+
+// CheckAge returns ErrKeyExpired or ErrKeyFromFuture if the key may not be used
+// at now, and nil for a key without a time.
+func (k Key) CheckAge(now time.Time) error {
+	switch {
+	case k.Time.IsZero():
+		return nil
+	case now.Sub(k.Time) > Retention:
+		return ErrKeyExpired
+	case k.Time.Sub(now) > ClockAllowance:
+		return ErrKeyFromFuture
+	}
+	return nil
+}
+
+func (k Key) millis() int64 {
+	if k.Time.IsZero() {
+		return 0
+	}
+	return k.Time.UnixMilli()
+}
+
+// Digest returns the hexadecimal SHA-256 digest of data.
+func Digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// Request is one request to run an operation.
+type Request struct {
+	Key       Key
+	RequestID request.ID
+	// Operation is the operation's name. It belongs to what a key is bound to,
+	// because two operations may have equal bodies.
+	Operation string
+	// BodyDigest is Digest of the request's body.
+	BodyDigest string
+}
+
+// Validate returns ErrInvalidRequest if a field is missing or malformed.
+func (r Request) Validate() error {
+	if !validName(r.Key.Team) || !validName(r.Key.Service) || !validDigest(r.Key.Digest) ||
+		!validRequestID(r.RequestID) || !validName(r.Operation) || !validDigest(r.BodyDigest) {
+		return ErrInvalidRequest
+	}
+	return nil
+}
+
+func validName(s string) bool {
+	return s != "" && len(s) <= MaxNameBytes && printable(s)
+}
+
+func validRequestID(id request.ID) bool {
+	parsed, err := request.ParseID(string(id))
+	return err == nil && parsed == id
+}
+
+func validDigest(s string) bool { return validHex(s, sha256.Size) }
+
+// validHex reports whether s is n bytes in lower-case hexadecimal.
+func validHex(s string, n int) bool {
+	if len(s) != 2*n {
+		return false
+	}
+	return strings.Trim(s, "0123456789abcdef") == ""
+}
+
+func printable(s string) bool {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/operation/record_test.go
@@ -0,0 +1,168 @@
+package operation
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+var testNow = time.UnixMilli(1_800_000_000_000)
+
+func idN(n int) request.ID {
+	return request.ID(fmt.Sprintf("00000000-0000-7000-8000-%012x", n))
+}
+
+func tokenN(n int) Token { return Token(fmt.Sprintf("%032x", n)) }
+
+// v7 returns a UUIDv7 that carries t.
+func v7(t time.Time) string {
+	h := fmt.Sprintf("%012x", t.UnixMilli())
+	return h[:8] + "-" + h[8:] + "-7000-8000-000000000001"
+}
+
+func testRequest(t assert.TestingT, key string, id int, body string) Request {
+	k, err := NewKey("team", "ledger", key)
+	assert.NilError(t, err)
+	return Request{Key: k, RequestID: idN(id), Operation: "deposit", BodyDigest: Digest([]byte(body))}
+}
+
+// Guards against keys that are accepted although their record may be gone, and
+// against two operations that share a record.
+func TestKey(t *testing.T) {
+	for _, bad := range []string{"", " a", "a ", "a\n", "é", strings.Repeat("a", 256)} {
+		_, err := NewKey("team", "ledger", bad)
+		assert.ErrorIs(t, err, ErrInvalidKey, "%q", bad)
+	}
+	for age, want := range map[time.Duration]error{
+		0: nil, Retention: nil, Retention + time.Millisecond: ErrKeyExpired,
+		-ClockAllowance: nil, -ClockAllowance - time.Millisecond: ErrKeyFromFuture,
+	} {
+		k, err := NewKey("team", "ledger", v7(testNow.Add(-age)))
+		assert.NilError(t, err)
+		assert.Equal(t, k.CheckAge(testNow), want, "age %v", age)
+	}
+	opaque, _ := NewKey("a/b", "c", "order-1")
+	assert.NilError(t, opaque.CheckAge(testNow.Add(1000*Retention)))
+	other, _ := NewKey("a", "b/c", "order-1")
+	assert.Assert(t, opaque.Path() != other.Path())
+}
+
+// modelRecord is the naive model: sets and flags instead of a state machine.
+type modelRecord struct {
+	holder    Token
+	held, ran bool
+	body      string
+	cancelled map[request.ID]bool
+}
+
+// Guards against a transition that the rules of section 6 forbid: a claim for
+// a cancelled id or of a held record, a second outcome, another body.
+func TestTransitionsAgainstModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rec, m := Record{}, modelRecord{cancelled: map[request.ID]bool{}}
+		next := 0
+		rt.Repeat(map[string]func(*rapid.T){
+			"claim": func(rt *rapid.T) {
+				next++
+				body := rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(rt, "body")
+				r := testRequest(rt, "k", rapid.IntRange(0, 4).Draw(rt, "id"), body)
+				got, err := rec.Claim(r, tokenN(next), testNow)
+				want := !m.ran && !m.held && !m.cancelled[r.RequestID] && (m.body == "" || m.body == body)
+				assert.Equal(rt, err == nil, want, "%v", err)
+				if want {
+					m.holder, m.held, m.body = tokenN(next), true, body
+				}
+				rec = got
+			},
+			"end": func(rt *rapid.T) {
+				token := tokenN(rapid.IntRange(0, next).Draw(rt, "token"))
+				release := rapid.Bool().Draw(rt, "release")
+				want := m.held && m.holder == token
+				var err error
+				if release {
+					rec, err = rec.Release(token, testNow)
+				} else {
+					status := rapid.SampledFrom([]int{200, 409}).Draw(rt, "status")
+					rec, err = rec.Complete(token, Response{Status: status}, testNow)
+					m.ran = m.ran || want
+				}
+				assert.Equal(rt, err == nil, want, "%v", err)
+				m.held = m.held && !want
+			},
+			"cancel": func(rt *rapid.T) {
+				body := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "body")
+				r := testRequest(rt, "k", rapid.IntRange(0, 80).Draw(rt, "id"), body)
+				got, err := rec.Cancel(r)
+				want := !m.ran && (m.body == "" || m.body == body) &&
+					(m.cancelled[r.RequestID] || !m.held && len(m.cancelled) < MaxCancelled)
+				assert.Equal(rt, err == nil, want, "%v", err)
+				if want {
+					m.cancelled[r.RequestID] = true
+				}
+				rec = got
+			},
+			"": func(rt *rapid.T) {
+				assert.Equal(rt, len(rec.Cancelled), len(m.cancelled))
+				assert.Equal(rt, rec.Final(), m.ran)
+				if rec.State == StateAbsent {
+					return
+				}
+				data, err := Encode(rec)
+				assert.NilError(rt, err)
+				back, err := Decode(data)
+				assert.NilError(rt, err)
+				assert.DeepEqual(rt, back, rec)
+			},
+		})
+	})
+}
+
+// Guards against a record that outgrows the store's limit, and against a
+// shortened body that looks complete.
+func TestResponseBound(t *testing.T) {
+	rec, err := Record{}.Claim(testRequest(t, "k", 1, "a"), tokenN(1), testNow)
+	assert.NilError(t, err)
+	for _, size := range []int{MaxResponseBytes, MaxResponseBytes + 1} {
+		done, err := rec.Complete(tokenN(1), Response{Status: 200, Body: bytes.Repeat([]byte{'x'}, size)}, testNow)
+		assert.NilError(t, err)
+		assert.Equal(t, done.Response.BodyOmitted, size > MaxResponseBytes)
+		data, err := Encode(done)
+		assert.NilError(t, err)
+		assert.Assert(t, len(data) <= MaxRecordBytes)
+	}
+}
+
+// Guards against records from the store that contradict themselves or aren't
+// bounded: whatever is accepted must encode to the same record.
+func FuzzDecode(f *testing.F) {
+	files, err := filepath.Glob("testdata/records/*.json")
+	assert.NilError(f, err)
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		rec, err := Decode(data)
+		if err != nil {
+			assert.ErrorIs(t, err, ErrInvalidRecord)
+			return
+		}
+		again, err := Encode(rec)
+		assert.NilError(t, err)
+		back, err := Decode(again)
+		assert.NilError(t, err)
+		data2, err := Encode(back)
+		assert.NilError(t, err)
+		assert.Equal(t, string(again), string(data2))
+	})
+}
