--- /dev/null
+++ b/internal/operation/store.go
@@ -0,0 +1,200 @@
+package operation
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+// Errors of a Store. Any other error of a write counts as ErrOutcomeUnknown.
+var (
+	// ErrNotFound means there is no object with the key.
+	ErrNotFound = errors.New("operation: object not found")
+	// ErrConflict means the condition of a write didn't hold; the write was
+	// not applied.
+	ErrConflict = errors.New("operation: version conflict")
+	// ErrUnavailable means the store can't be reached; a write was surely not
+	// applied and never will be.
+	ErrUnavailable = errors.New("operation: store is unavailable")
+	// ErrOutcomeUnknown means a write may have been applied, or may still be
+	// applied later if it is delayed on its way.
+	ErrOutcomeUnknown = errors.New("operation: outcome of the write is unknown")
+)
+
+// Errors in a Result.
+var (
+	// ErrNotSent is wrapped by the error of an execute function that proves
+	// that no byte reached the upstream.
+	ErrNotSent = errors.New("operation: no byte was sent to the upstream")
+	// ErrNoOutcome means another attempt claimed the operation and recorded no
+	// outcome before the deadline.
+	ErrNoOutcome = errors.New("operation: no outcome was recorded before the deadline")
+	// ErrClaimUndetermined means the attempt couldn't learn whether its claim
+	// took effect, and therefore didn't run.
+	ErrClaimUndetermined = errors.New("operation: claim could not be confirmed")
+	// ErrDeadline means the deadline passed before the operation was run.
+	ErrDeadline = errors.New("operation: deadline passed before the call")
+)
+
+// Store holds records. Implementations end a call when ctx ends. Versions are
+// greater than 0 and are not reused for a key, not even after a removal.
+type Store interface {
+	// Get returns ErrNotFound if there is no object.
+	Get(ctx context.Context, key string) (value []byte, version uint64, err error)
+	// Create returns ErrConflict if the object exists.
+	Create(ctx context.Context, key string, value []byte) (version uint64, err error)
+	// Update returns ErrConflict unless the object has the version, and
+	// ErrNotFound or ErrConflict if there is no object.
+	Update(ctx context.Context, key string, value []byte, version uint64) (newVersion uint64, err error)
+}
+
+// Options configures a Claimer or Canceller. Zero fields take the defaults.
+type Options struct {
+	// Now is the wall clock. Default time.Now.
+	Now func() time.Time
+	// Token draws an attempt token. Default: from crypto/rand.
+	Token func() (Token, error)
+	// Jitter returns a number in [0, 1). Default math/rand/v2.
+	Jitter func() float64
+	// Deadline bounds a call whose context has no deadline. Default 10 s, the
+	// default deadline of a service's operation.
+	Deadline time.Duration
+	// StoreTimeout bounds one store call. Default 2 s.
+	StoreTimeout time.Duration
+	// PollMin and PollMax bound the delay between two reads of a record that
+	// another attempt holds. Defaults 20 ms and 500 ms: an operation usually
+	// ends within tens of milliseconds, and the store's reads are scarce.
+	PollMin, PollMax time.Duration
+	// Grace is how long after the deadline an outcome is still recorded.
+	// Default 30 s.
+	Grace time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault := func(d *time.Duration, v time.Duration) {
+		if *d <= 0 {
+			*d = v
+		}
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Token == nil {
+		o.Token = func() (Token, error) { return NewToken(nil) }
+	}
+	if o.Jitter == nil {
+		o.Jitter = rand.Float64
+	}
+	setDefault(&o.Deadline, 10*time.Second)
+	setDefault(&o.StoreTimeout, 2*time.Second)
+	setDefault(&o.PollMin, 20*time.Millisecond)
+	setDefault(&o.PollMax, 500*time.Millisecond)
+	setDefault(&o.Grace, 30*time.Second)
+	return o
+}
+
+// withDeadline applies the default deadline if ctx has none.
+func (o Options) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, o.Deadline)
+}
+
+// Result is the end of Claimer.Run or Canceller.Cancel.
+type Result struct {
+	Outcome request.Outcome
+	// Response is set if Outcome is completed or failed.
+	Response Response
+	// Replayed is true if Response was read from the record.
+	Replayed bool
+	// Err is the reason for not-run or unknown, else nil.
+	Err error
+}
+
+func notRun(err error) Result  { return Result{Outcome: request.OutcomeNotRun, Err: err} }
+func unknown(err error) Result { return Result{Outcome: request.OutcomeUnknown, Err: err} }
+
+func replay(rec Record) Result {
+	return Result{Outcome: rec.Response.Outcome(), Response: *rec.Response, Replayed: true}
+}
+
+// records reads and writes one record with bounded store calls.
+type records struct {
+	store Store
+	opts  Options
+	path  string
+}
+
+// read returns the zero Record and version 0 if there is no record. It returns
+// ErrInvalidRecord or an error of the store.
+func (r records) read(ctx context.Context) (Record, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.opts.StoreTimeout)
+	defer cancel()
+	value, version, err := r.store.Get(ctx, r.path)
+	if errors.Is(err, ErrNotFound) {
+		return Record{}, 0, nil
+	}
+	if err != nil {
+		return Record{}, 0, eris.Wrap(err, "operation: read record")
+	}
+	rec, err := Decode(value)
+	return rec, version, err
+}
+
+// write creates the record if version is 0, else updates it. Its error is nil,
+// ErrConflict, ErrUnavailable, ErrInvalidRecord or ErrOutcomeUnknown.
+func (r records) write(ctx context.Context, rec Record, version uint64) (uint64, error) {
+	value, err := Encode(rec)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.opts.StoreTimeout)
+	defer cancel()
+	var written uint64
+	if version == 0 {
+		written, err = r.store.Create(ctx, r.path, value)
+	} else {
+		written, err = r.store.Update(ctx, r.path, value, version)
+	}
+	switch {
+	case err == nil:
+		return written, nil
+	case errors.Is(err, ErrOutcomeUnknown):
+		return 0, ErrOutcomeUnknown
+	case errors.Is(err, ErrConflict), errors.Is(err, ErrNotFound):
+		return 0, ErrConflict
+	case errors.Is(err, ErrUnavailable):
+		return 0, ErrUnavailable
+	}
+	return 0, eris.Wrap(ErrOutcomeUnknown, err.Error())
+}
+
+// backoff doubles its delay up to a limit, with jitter over its upper half.
+type backoff struct {
+	next, limit time.Duration
+	jitter      func() float64
+}
+
+func (o Options) backoff() *backoff {
+	return &backoff{next: o.PollMin, limit: o.PollMax, jitter: o.Jitter}
+}
+
+// wait returns false if ctx ended.
+func (b *backoff) wait(ctx context.Context) bool {
+	d := b.next/2 + time.Duration(b.jitter()*float64(b.next/2))
+	b.next = min(2*b.next, b.limit)
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return ctx.Err() == nil
+	}
+}
