--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,95 @@
+// Package events holds the catalogue of numbered log events and the logger
+// that writes them. To add an event, declare it with define in the file of its
+// subsystem and run "go test ./internal/events -update", which rewrites
+// docs/events.md.
+package events
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/rs/zerolog"
+)
+
+// Event is one kind of log line. Numbers are never reused: an event that is
+// removed leaves a gap.
+type Event struct {
+	// Number identifies the event; its hundreds name the subsystem.
+	Number int
+	// Name is the event's name in kebab case.
+	Name string
+	// Level is the level of the line.
+	Level zerolog.Level
+	// Meaning says what happened.
+	Meaning string
+	// Action says what the operator does about it.
+	Action string
+}
+
+// Code returns the number in the form that log lines carry, such as "NR1203".
+func (e Event) Code() string { return fmt.Sprintf("NR%04d", e.Number) }
+
+// Subsystem is a range of one hundred event numbers.
+type Subsystem struct {
+	First int
+	Title string
+}
+
+// Subsystems lists the ranges.
+var Subsystems = []Subsystem{
+	{1000, "Process"},
+	{1100, "Peers and membership"},
+	{1200, "Sequences"},
+	{1300, "Operations"},
+	{1400, "Configuration"},
+	{1500, "Limits and fairness"},
+	{1600, "Orders"},
+	{1700, "Callers' API"},
+}
+
+const noAction = "None."
+
+var catalogue = map[int]Event{}
+
+// define adds an event to the catalogue. It panics on a repeated number, which
+// would make two kinds of lines indistinguishable.
+func define(number int, name string, level zerolog.Level, meaning, action string) Event {
+	if other, ok := catalogue[number]; ok {
+		panic(fmt.Sprintf("events: number %d is used by %s and %s", number, other.Name, name))
+	}
+	e := Event{Number: number, Name: name, Level: level, Meaning: meaning, Action: action}
+	catalogue[number] = e
+	return e
+}
+
+// All returns the catalogue in order of number.
+func All() []Event {
+	list := make([]Event, 0, len(catalogue))
+	for _, e := range catalogue {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b Event) int { return a.Number - b.Number })
+	return list
+}
+
+// Markdown returns the page docs/events.md.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString(`# Log events
+
+Each line of the log carries the number of its event in the field ` + "`event`" + ` and the event's name in the field
+` + "`name`" + `. Numbers are never reused. This page is generated from ` + "`internal/events`" + ` by
+` + "`go test ./internal/events -update`" + `.
+`)
+	for _, s := range Subsystems {
+		fmt.Fprintf(&b, "\n## %s (%d to %d)\n\n", s.Title, s.First, s.First+99)
+		b.WriteString("| Event | Name | Level | Meaning | Action |\n|---|---|---|---|---|\n")
+		for _, e := range All() {
+			if e.Number/100*100 == s.First {
+				fmt.Fprintf(&b, "| %s | `%s` | %s | %s | %s |\n", e.Code(), e.Name, e.Level, e.Meaning, e.Action)
+			}
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/events/events_test.go
@@ -0,0 +1,40 @@
+package events
+
+import (
+	"bytes"
+	"encoding/json"
+	"regexp"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// Guards against a docs/events.md that differs from the code, and against
+// events outside every range or without an action.
+func TestCatalogue(t *testing.T) {
+	golden.Assert(t, Markdown(), "../../../docs/events.md")
+	names := map[string]bool{}
+	for _, e := range All() {
+		assert.Assert(t, e.Number >= 1000 && e.Number < 1800, e.Name)
+		assert.Assert(t, e.Meaning != "" && e.Action != "" && !names[e.Name], e.Name)
+		assert.Assert(t, regexp.MustCompile(`^[a-z]+(-[a-z]+)*$`).MatchString(e.Name), e.Name)
+		names[e.Name] = true
+	}
+}
+
+// Guards against lines without number, name or instance.
+func TestLogger(t *testing.T) {
+	var b bytes.Buffer
+	l, err := New(&b, "info", "json", "entry-1")
+	assert.NilError(t, err)
+	l.Log(StaleFrameDropped).Send() // below the level
+	l.With("team", "packs").Std(StageReplaced).Println("text")
+	var line map[string]string
+	assert.NilError(t, json.Unmarshal(b.Bytes(), &line))
+	delete(line, "time")
+	assert.DeepEqual(t, line, map[string]string{"event": "NR1200", "name": "stage-replaced", "level": "warn",
+		"instance": "entry-1", "team": "packs", "message": "text"})
+	_, err = New(&b, "info", "xml", "x")
+	assert.ErrorContains(t, err, "xml")
+}
--- /dev/null
+++ b/internal/events/logger.go
@@ -0,0 +1,73 @@
+package events
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Logger writes numbered events. It is safe for concurrent use.
+type Logger struct {
+	z zerolog.Logger
+}
+
+// New returns a logger that writes to w. Level is debug, info, warn or error;
+// format is json or console; instance is added to each line.
+func New(w io.Writer, level, format, instance string) (*Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("events: %w", err)
+	}
+	switch format {
+	case "json":
+	case "console":
+		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.RFC3339, NoColor: true}
+	default:
+		return nil, fmt.Errorf("events: unknown log format %q", format)
+	}
+	z := zerolog.New(w).Level(l).With().Timestamp().Str("instance", instance).Logger()
+	return &Logger{z: z}, nil
+}
+
+// Nop returns a logger that writes nothing.
+func Nop() *Logger { return &Logger{z: zerolog.Nop()} }
+
+// Log begins a line for e. The caller adds fields and ends it with Msg or
+// Send:
+//
+//	l.Log(events.StageReplaced).Str("request", id).Err(err).Send()
+func (l *Logger) Log(e Event) *zerolog.Event {
+	return l.z.WithLevel(e.Level).Str("event", e.Code()).Str("name", e.Name)
+}
+
+// With returns a logger that adds the field to each line.
+func (l *Logger) With(key, value string) *Logger {
+	return &Logger{z: l.z.With().Str(key, value).Logger()}
+}
+
+// Std returns a standard logger for libraries that need one; each of its lines
+// is logged as e.
+func (l *Logger) Std(e Event) *log.Logger {
+	return log.New(stdWriter{l, e}, "", 0)
+}
+
+type stdWriter struct {
+	l *Logger
+	e Event
+}
+
+// Write implements io.Writer.
+func (w stdWriter) Write(p []byte) (int, error) {
+	w.l.Log(w.e).Msg(string(trimNewline(p)))
+	return len(p), nil
+}
+
+func trimNewline(p []byte) []byte {
+	if n := len(p); n > 0 && p[n-1] == '\n' {
+		return p[:n-1]
+	}
+	return p
+}
--- /dev/null
+++ b/internal/events/orders.go
@@ -0,0 +1,16 @@
+package events
+
+import "github.com/rs/zerolog"
+
+// Events of orders to engines, 1600 to 1699.
+var (
+	OrderAccepted = define(1600, "order-accepted", zerolog.InfoLevel,
+		"An engine carried out an order.", noAction)
+	OrderFenced = define(1601, "order-fenced", zerolog.WarnLevel,
+		"An order with an outdated fencing number was refused.",
+		"None if a lease changed hands; otherwise check the clock and load of the old holder.")
+	OrderFailed = define(1602, "order-failed", zerolog.ErrorLevel,
+		"An engine refused or failed an order.", "Check the engine's log and the weight store.")
+	LeaseLost = define(1603, "lease-lost", zerolog.WarnLevel,
+		"The holder of a group's lease no longer holds it.", noAction)
+)
