Merge the limits of a team's weight

Change: the fair queue's constants stay, with the lower upper bound of the validation, so that every accepted weight is used unclamped.

--- a/internal/operation/key.go
+++ b/internal/operation/key.go
@@ -126,6 +126,17 @@
 	BodyDigest string
 }
 
+// NewRequest returns the request to run an operation under an idempotency key.
+// It returns ErrInvalidKey or ErrInvalidRequest.
+func NewRequest(id request.ID, team, service, name, idempotencyKey string, body []byte) (Request, error) {
+	key, err := NewKey(team, service, idempotencyKey)
+	if err != nil {
+		return Request{}, err
+	}
+	r := Request{Key: key, RequestID: id, Operation: name, BodyDigest: Digest(body)}
+	return r, r.Validate()
+}
+
 // Validate returns ErrInvalidRequest if a field is missing or malformed.
 func (r Request) Validate() error {
 	if !validName(r.Key.Team) || !validName(r.Key.Service) || !validDigest(r.Key.Digest) ||
--- a/internal/team/fairqueue.go
+++ b/internal/team/fairqueue.go
@@ -15,7 +15,7 @@
 	// MinWeight and MaxWeight bound a weight, so that the division of a cost by
 	// a weight keeps virtual time within the precision of a float64.
 	MinWeight = 0.001
-	MaxWeight = 1e6
+	MaxWeight = 10_000.0
 	// MaxPriority is the highest priority class within a team.
 	MaxPriority = 9
 	// ReservedFraction is the part of the overall limits that only teams below
--- a/internal/team/validate.go
+++ b/internal/team/validate.go
@@ -7,15 +7,8 @@
 	"github.com/nutmegroute/nutmegroute/internal/validate"
 )
 
-// DefaultWeight is the weight of a team that sets none.
-const DefaultWeight = 1.0
-
-// Limits of a team's fields.
-const (
-	MinWeight = 0.001
-	MaxWeight = 10_000.0
-	MaxKeys   = 64
-)
+// MaxKeys bounds the API keys of one team.
+const MaxKeys = 64
 
 // WithDefaults returns a copy of t in which every unset field has its default.
 func (t Team) WithDefaults() Team {
