Queue steps fairly by team and run replayed steps together

Cause: all entries' traffic meets at the sidecar, so teams must share it there; a replacement stage that is fed a long log step by step takes one engine iteration for each position. Change: the scheduler pops batches from the fair queue; only new sequences are refused for load, because a refused decode step would cut an answer. Consecutive waiting steps of a sequence run as one work item.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -242,7 +242,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline.Add(cancelGrace))
 	defer cancel()
-	return settledResult(c.entry.options.Canceller.Cancel(ctx, r))
+	return settledResult(c.entry.canceller.Cancel(ctx, r))
 }
 
 func settledResult(done operation.Result) callerapi.ServiceResult {
@@ -284,10 +284,3 @@
 		Status: f.Status, ContentType: f.ContentType, Body: f.Body, Replayed: f.Replayed,
 	}
 }
-
-// canceller obtains the right to answer not-run.
-type canceller interface {
-	Cancel(ctx context.Context, r operation.Request) operation.Result
-}
-
-var _ canceller = (*operation.Canceller)(nil)
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -74,8 +74,7 @@
 	return b.String()
 }
 
-// result classifies the end of a sequence. Without a step sent no engine ran
-// any part of it.
+// result classifies the end of a sequence.
 func (s *sequence) result(err error) callerapi.ChatResult {
 	result := callerapi.ChatResult{
 		PromptTokens:     s.usedPromptTokens,
@@ -89,12 +88,12 @@
 		}
 		return result
 	}
-	if !s.sent {
+	if !s.mayHaveRun() {
 		result.Result = busy(err.Error())
 		return result
 	}
 	status := http.StatusBadGateway
-	if errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errExpired) {
 		status = http.StatusGatewayTimeout
 	}
 	result.Result = callerapi.Result{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,17 +8,24 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegroute/nutmegroute/internal/callerapi"
 	"github.com/nutmegroute/nutmegroute/internal/config"
 	"github.com/nutmegroute/nutmegroute/internal/configsync"
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/metrics"
+	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/platform"
+	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -57,16 +64,20 @@
 	// DrainTimeout bounds a planned stop. Default 10 min.
 	DrainTimeout time.Duration
 
-	// Instances is the platform's list.
-	Instances instanceLister
-	// Follow feeds the replica from the platform's store until ctx ends.
-	Follow func(ctx context.Context, replica *config.Replica) error
-	// Canceller obtains the right to answer not-run for a call.
-	Canceller canceller
-	// NewCallerServer makes the HTTP server of the callers' API.
-	NewCallerServer func(callerapi.Backend) (*http.Server, error)
-	// Metrics serves the metrics page.
-	Metrics http.Handler
+	// MaxBody and MaxHeader bound a caller's request, in bytes. Defaults 1 MiB
+	// and 32 KiB.
+	MaxBody   int
+	MaxHeader int
+
+	// AdminListen is the address of the operators' API. Default none.
+	AdminListen string
+	// Operators maps names to the SHA-256 digests of their keys.
+	Operators map[string]string
+
+	// Platform is the client of the platform's object API and list.
+	Platform *platform.Client
+	// Log receives events. Default none.
+	Log *events.Logger
 }
 
 func (o Options) withDefaults() Options {
@@ -74,6 +85,9 @@
 	setDefault(&o.SuspectAfter, time.Second)
 	setDefault(&o.DrainDelay, 2*time.Second)
 	setDefault(&o.DrainTimeout, 10*time.Minute)
+	if o.Log == nil {
+		o.Log = events.Nop()
+	}
 	return o
 }
 
@@ -93,6 +107,11 @@
 	directory      *upstream.Directory
 	membership     *membership
 	replica        *config.Replica
+	store          *config.Store
+	canceller      *operation.Canceller
+	metrics        http.Handler
+	scope          tally.Scope
+	closeMetrics   io.Closer
 	sync           *configsync.Syncer
 	chooser        chooser
 	sequences      *sequenceTable
@@ -116,8 +135,11 @@
 	})
 	e.directory = upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter})
 	e.chooser = &leastLoaded{directory: e.directory}
+	e.store = config.NewStore(options.Platform, config.StoreOptions{})
+	e.canceller = operation.NewCanceller(recordstore.New(options.Platform), operation.Options{})
+	e.scope, e.metrics, e.closeMetrics = metrics.NewScope(map[string]string{"instance": options.ID}, options.Log)
 	e.sync = configsync.New(e.node, e.replica, func(error) {})
-	e.membership = newMembership(e.node, e.directory, options.Instances, e.options.Advertise, options.FailureDomain, options.Seeds)
+	e.membership = newMembership(e.node, e.directory, options.Platform, e.options.Advertise, options.FailureDomain, options.Seeds)
 	return e, nil
 }
 
@@ -150,7 +172,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, e.node)
 	peerServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	callerServer, err := e.options.NewCallerServer(e)
+	callerServer, err := callerapi.NewServer(e, callerapi.Options{
+		MaxBody: e.options.MaxBody, MaxHeader: e.options.MaxHeader, Log: e.options.Log, Scope: e.scope,
+	})
 	if err != nil {
 		return err
 	}
@@ -160,7 +184,7 @@
 	g.Go(func() error { return serve(callerServer, e.callerListener) })
 	g.Go(func() error { e.membership.Run(work); return nil })
 	g.Go(func() error { e.sync.Run(work); return nil })
-	g.Go(func() error { return e.options.Follow(work, e.replica) })
+	g.Go(func() error { return ignoreCanceled(e.store.Follow(work, e.replica)) })
 
 	<-ctx.Done()
 	e.drain(callerServer)
@@ -177,6 +201,14 @@
 	return nil
 }
 
+// ignoreCanceled drops the error of a context that was cancelled on purpose.
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
 // drain stops accepting requests and waits for those in progress.
 func (e *Entry) drain(server *http.Server) {
 	e.leaving.Store(true)
@@ -221,7 +253,18 @@
 }
 
 // Metrics implements callerapi.Backend.
-func (e *Entry) Metrics() http.Handler { return e.options.Metrics }
+func (e *Entry) Metrics() http.Handler { return e.metrics }
+
+// UsableUpstreams returns the number of upstreams that take new work.
+func (e *Entry) UsableUpstreams() int {
+	n := 0
+	for _, u := range e.directory.All() {
+		if u.Status().Usable() {
+			n++
+		}
+	}
+	return n
+}
 
 // Connected implements peer.Handler.
 func (e *Entry) Connected(c *peer.Conn) { e.membership.connected(c) }
--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -85,9 +85,11 @@
 	excluded map[upstream.InstanceID]bool
 	answer   *request.Assembler
 	tokens   []int
-	// sent is true once a step left for the first stage.
-	sent  bool
-	ended bool
+	// unresolved is true while a step is at a first stage that has not said
+	// whether it ran; ran is true once an engine may have run a step.
+	unresolved bool
+	ran        bool
+	ended      bool
 
 	usedPromptTokens int
 	onEvent          func(kind, detail string)
@@ -141,7 +143,7 @@
 		if err != nil || s.ended {
 			return err
 		}
-		if s.noResume && s.sent {
+		if s.noResume && s.mayHaveRun() {
 			return fmt.Errorf("%w: the profile forbids resuming", errStageLost)
 		}
 		if err := s.replaceLost(ctx, lost); err != nil {
@@ -339,7 +341,7 @@
 	} else {
 		step.Token = s.tokens[p-1]
 	}
-	s.sent = true
+	s.unresolved = true
 	// A failed send closes the connection, which arrives as an event.
 	_ = s.stages[0].conn.Send(step)
 }
@@ -395,12 +397,19 @@
 // stage can repair.
 var errSequenceFailed = errors.New("entry: sequence failed")
 
+// errExpired is returned when the deadline passed before a step ran.
+var errExpired = errors.New("entry: the deadline passed in the queue")
+
 func (s *sequence) handleFailure(i int, f *peer.SequenceFailed, lost map[int]string) error {
+	if i == 0 && !f.Ran {
+		// The first stage dropped its only step, so nothing is left to run.
+		s.unresolved = false
+	}
 	switch f.Reason {
 	case peer.FailedLog:
 		return fmt.Errorf("%w: %s", errSequenceFailed, f.Detail)
 	case peer.FailedDeadline:
-		return context.DeadlineExceeded
+		return errExpired
 	}
 	if j := s.blame(i, f); j >= 0 {
 		lost[j] = string(f.Reason) + ": " + f.Detail
@@ -419,6 +428,7 @@
 		return err
 	}
 	for _, piece := range ready {
+		s.ran = true
 		s.tokens = append(s.tokens, piece.Token)
 		s.ended = piece.End || len(s.tokens) >= s.maxTokens
 		if !s.ended {
@@ -449,6 +459,9 @@
 		s.record("stage-lost", fmt.Sprintf("%s: %s", b.Instance, reason))
 		s.abandon(b)
 		s.excluded[b.Instance] = true
+		if i == 0 && s.unresolved {
+			s.ran = true
+		}
 		replacements, err := s.chooser.replace(s, b.Stage)
 		if err != nil {
 			if err := s.waitForUpstream(ctx); err != nil {
@@ -493,6 +506,9 @@
 	}
 }
 
+// mayHaveRun reports whether an engine may have run a step.
+func (s *sequence) mayHaveRun() bool { return s.ran || s.unresolved }
+
 func (s *sequence) record(kind, detail string) {
 	if s.onEvent != nil {
 		s.onEvent(kind, detail)
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+// Guards against a frame type that the decoder does not know or whose fields
+// are lost on the wire.
+func TestFramesSurviveTheCodec(t *testing.T) {
+	for typ := TypeHello; typ <= TypeOrderResult; typ++ {
+		f, err := newFrame(typ)
+		assert.NilError(t, err)
+		assert.Equal(t, f.Type(), typ)
+	}
+	sent := &OpenSequence{
+		Request: "r", Attempt: 3, Team: "small", DeadlineMillis: 10, Model: "m",
+		Layers: pipeline.LayerRange{From: 4, To: 8}, Downstream: "127.0.0.1:1",
+	}
+	data, err := encodeFrame(sent, 7)
+	assert.NilError(t, err)
+	got, revision, rest, err := decodeFrame(append(data, 0xff))
+	assert.NilError(t, err)
+	assert.Equal(t, revision, uint64(7))
+	assert.Equal(t, len(rest), 1)
+	assert.DeepEqual(t, got, sent)
+}
+
+// Guards against panics and unbounded work on hostile bytes.
+func FuzzDecodeFrame(f *testing.F) {
+	for _, frame := range []Frame{
+		&Hello{Role: RoleSidecar, ID: "a", State: upstream.StateReady},
+		&Step{Request: "r", Position: 1, Activation: []byte{1, 2}},
+		&CallResult{Request: "r", Status: 200},
+	} {
+		data, err := encodeFrame(frame, 1)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame, revision, rest, err := decodeFrame(data)
+		if err != nil {
+			return
+		}
+		assert.Assert(t, len(rest) < len(data))
+		_, err = encodeFrame(frame, revision)
+		assert.NilError(t, err)
+	})
+}
--- /dev/null
+++ b/internal/peer/node_test.go
@@ -0,0 +1,168 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+// recorder is a Handler that keeps what it is told.
+type recorder struct {
+	mu     sync.Mutex
+	frames []Frame
+	conns  []*Conn
+	ended  chan struct{}
+	seen   chan struct{}
+}
+
+func newRecorder() *recorder {
+	return &recorder{ended: make(chan struct{}, 16), seen: make(chan struct{}, 1<<16)}
+}
+
+func (r *recorder) Connected(c *Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns = append(r.conns, c)
+}
+
+func (r *recorder) HandleFrame(_ *Conn, f Frame) {
+	r.mu.Lock()
+	r.frames = append(r.frames, f)
+	r.mu.Unlock()
+	r.seen <- struct{}{}
+}
+
+func (r *recorder) Disconnected(*Conn, error) { r.ended <- struct{}{} }
+
+func startNode(t *testing.T, secret string, options Options) (*Node, *recorder, string) {
+	t.Helper()
+	r := newRecorder()
+	options.Secret = secret
+	n := NewNode(Hello{Role: RoleSidecar, ID: t.Name()}, r, func() uint64 { return 5 }, options)
+	server := httptest.NewServer(n)
+	t.Cleanup(func() { n.Close(); server.Close() })
+	return n, r, strings.TrimPrefix(server.URL, "http://")
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against reordered or lost frames when many are sent together, and
+// against a second connection to the same address.
+func TestFramesArriveInOrderOverOneConnection(t *testing.T) {
+	const frames = 2000
+	client, _, _ := startNode(t, "s", Options{})
+	_, server, address := startNode(t, "s", Options{})
+	var wg sync.WaitGroup
+	conns := make([]*Conn, 8)
+	for i := range conns {
+		wg.Go(func() { conns[i], _ = client.Dial(testContext(t), address) })
+	}
+	wg.Wait()
+	for _, c := range conns {
+		assert.Equal(t, c, conns[0])
+	}
+	for i := range frames {
+		assert.NilError(t, conns[0].Send(&Token{Request: "r", Position: request.Position(i)}))
+	}
+	for range frames {
+		<-server.seen
+	}
+	for i, f := range server.frames {
+		assert.Equal(t, f.(*Token).Position, request.Position(i))
+	}
+	assert.Equal(t, server.conns[0].Revision(), uint64(5))
+}
+
+// Guards against a process without the shared secret joining.
+func TestWrongSecretIsRefused(t *testing.T) {
+	client, _, _ := startNode(t, "wrong", Options{})
+	_, _, address := startNode(t, "right", Options{})
+	_, err := client.Dial(testContext(t), address)
+	assert.ErrorIs(t, err, ErrUnauthorized)
+}
+
+// Guards against a stopped peer or a silently dropped link keeping its
+// connection: nothing arrives any more, but no error either.
+func TestSilentPeerIsClosed(t *testing.T) {
+	options := Options{PingInterval: 10 * time.Millisecond, IdleTimeout: 200 * time.Millisecond}
+	client, events, _ := startNode(t, "s", options)
+	_, _, address := startNode(t, "s", options)
+	link := newLink(t, address)
+	conn, err := client.Dial(testContext(t), link.address)
+	assert.NilError(t, err)
+	link.stall()
+	<-events.ended
+	assert.Assert(t, conn.Idle())
+	assert.Assert(t, client.Connection(link.address) == nil)
+	assert.ErrorIs(t, conn.Send(&Ping{}), ErrClosed)
+}
+
+// link forwards TCP connections until it is stalled; then it reads nothing.
+type link struct {
+	address string
+	stalled chan struct{}
+}
+
+func newLink(t *testing.T, target string) *link {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	l := &link{address: listener.Addr().String(), stalled: make(chan struct{})}
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = in.Close()
+				return
+			}
+			go l.copy(in, out)
+			go l.copy(out, in)
+		}
+	}()
+	return l
+}
+
+func (l *link) copy(to, from net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-l.stalled:
+			return
+		default:
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		_, _ = to.Write(buffer[:n])
+	}
+}
+
+func (l *link) stall() { close(l.stalled) }
+
+// Guards against bytes that are not a Hello being taken for a peer.
+func TestHandshakeRefusesOtherFrames(t *testing.T) {
+	client, _, _ := startNode(t, "s", Options{})
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	_, err := client.Dial(testContext(t), strings.TrimPrefix(server.URL, "http://"))
+	assert.ErrorIs(t, err, ErrUnreachable)
+}
--- a/internal/pipeline/cursor.go
+++ b/internal/pipeline/cursor.go
@@ -33,7 +33,7 @@
 type Cursor struct {
 	attempt request.Attempt
 	next    request.Position
-	running bool
+	running int
 }
 
 // Bind raises the cursor's attempt. Binding the current attempt again is
@@ -52,8 +52,9 @@
 // Next returns the first position that has not finished.
 func (c *Cursor) Next() request.Position { return c.next }
 
-// Running reports whether position Next is being executed.
-func (c *Cursor) Running() bool { return c.running }
+// Running returns the number of positions from Next on that are being
+// executed.
+func (c *Cursor) Running() int { return c.running }
 
 // Decide returns the verdict for a step. It does not change the cursor.
 func (c *Cursor) Decide(a request.Attempt, p request.Position) Verdict {
@@ -62,24 +63,25 @@
 		return VerdictStale
 	case p < c.next:
 		return VerdictAnswer
-	case p > c.next:
-		return VerdictEarly
-	case c.running:
+	case p < c.next+request.Position(c.running):
 		return VerdictInProgress
-	default:
+	case p == c.next && c.running == 0:
 		return VerdictRun
+	default:
+		return VerdictEarly
 	}
 }
 
-// Start marks position Next as running.
-func (c *Cursor) Start() { c.running = true }
+// Start marks n positions from Next on as running. A replacement stage runs
+// the positions it is fed again together, like a prefill.
+func (c *Cursor) Start(n int) { c.running = n }
 
 // Finish marks position Next as done.
 func (c *Cursor) Finish() {
-	c.running = false
+	c.running--
 	c.next++
 }
 
-// Abort marks position Next as not running. It may be called only if the step
-// surely did not run.
-func (c *Cursor) Abort() { c.running = false }
+// Abort marks all positions as not running. It may be called only if none of
+// them ran.
+func (c *Cursor) Abort() { c.running = 0 }
--- a/internal/pipeline/cursor_test.go
+++ b/internal/pipeline/cursor_test.go
@@ -26,13 +26,16 @@
 				continue
 			}
 			position := request.Position(rapid.IntRange(0, 20).Draw(t, "position"))
-			if c.Running() && rapid.Bool().Draw(t, "finish") {
+			if c.Running() > 0 && rapid.Bool().Draw(t, "finish") {
 				c.Finish()
 			}
 			if c.Decide(attempt, position) == VerdictRun {
 				assert.Equal(t, attempt, highest)
-				ran = append(ran, position)
-				c.Start()
+				n := rapid.IntRange(1, 3).Draw(t, "run together")
+				for i := range n {
+					ran = append(ran, position+request.Position(i))
+				}
+				c.Start(n)
 			}
 		}
 		for i, p := range ran {
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/engine"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/team"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -22,31 +22,38 @@
 	Order(ctx context.Context, order engine.Order) error
 }
 
-// errQueueFull is returned when the step queue is at its limit.
-var errQueueFull = errors.New("sidecar: step queue full")
-
 const (
 	// batchTimeout bounds one engine call. An engine that is silent for longer
 	// counts as failed.
 	batchTimeout = 5 * time.Second
 	// probeTimeout bounds the look-up of a sequence after a lost response.
 	probeTimeout = time.Second
+	// probeInterval is the wait between two look-ups while the engine still
+	// runs the step.
+	probeInterval = 10 * time.Millisecond
 	// cancelTimeout bounds the release of a sequence's KV cache.
 	cancelTimeout = 2 * time.Second
+	// cancelBacklog bounds the releases that wait for the engine.
+	cancelBacklog = 1024
 	// stepSmoothing is the weight of a new sample of the step duration.
 	stepSmoothing = 0.2
 )
 
-// work is one step that waits for or runs on the engine.
+// work is one or more consecutive steps of a sequence that wait for or run on
+// the engine.
 type work struct {
 	request      request.ID
 	team         string
 	priority     int
 	deadline     time.Time
 	cost         int
+	continues    bool
 	promptTokens int
 	cachedTokens int
-	step         engine.Step
+	steps        []engine.Step
+	// dispatched is true once the steps were sent to the engine.
+	dispatched bool
+	ticket     *team.Ticket[*work]
 }
 
 // stepCost returns the cost of a step in tokens.
@@ -63,33 +70,46 @@
 	return string(id) + "/" + attemptString(attempt)
 }
 
-// scheduler feeds the engine with batches of steps.
+// schedulerLimits bound a scheduler's queue.
+type schedulerLimits struct {
+	batch  int
+	items  int
+	tokens int
+}
+
+// scheduler feeds the engine with batches of steps, in the order of a fair
+// queue over teams.
 type scheduler struct {
 	engine   Engine
-	maxBatch int
-	maxQueue int
-	finished func(*work, engine.StepResult)
+	limits   schedulerLimits
+	finished func(*work, []engine.StepResult)
 	failed   func(*work, peer.FailureReason, string)
 
 	desc atomic.Pointer[upstream.Descriptor]
 
 	mu      sync.Mutex
-	queue   []*work
-	queued  int
+	queue   *team.FairQueue[*work]
+	waiting map[request.ID]*work
 	running int
 	wakeup  chan struct{}
 
+	served     *teamCounters
 	stepMicros atomic.Int64
 	cancels    chan string
 }
 
-func newScheduler(e Engine, desc upstream.Descriptor, maxBatch, maxQueue int) *scheduler {
+func newScheduler(e Engine, desc upstream.Descriptor, limits schedulerLimits) *scheduler {
 	s := &scheduler{
-		engine:   e,
-		maxBatch: maxBatch,
-		maxQueue: maxQueue,
-		wakeup:   make(chan struct{}, 1),
-		cancels:  make(chan string, 1024),
+		engine: e,
+		limits: limits,
+		// Only new sequences are refused for load (see admit); a step of an
+		// open sequence always finds room, because a refusal would cut an
+		// answer in progress.
+		queue:   team.NewFairQueue[*work](team.QueueLimits{}),
+		waiting: make(map[request.ID]*work),
+		wakeup:  make(chan struct{}, 1),
+		served:  newTeamCounters(),
+		cancels: make(chan string, cancelBacklog),
 	}
 	s.desc.Store(&desc)
 	return s
@@ -97,6 +117,13 @@
 
 func (s *scheduler) descriptor() upstream.Descriptor { return *s.desc.Load() }
 
+// setWeight sets the share of a team.
+func (s *scheduler) setWeight(name string, weight float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.SetWeight(name, weight)
+}
+
 // admit decides whether a new sequence may be opened.
 func (s *scheduler) admit(open *peer.OpenSequence) peer.RefusalReason {
 	d := s.descriptor()
@@ -105,47 +132,94 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.queue) >= s.maxQueue {
+	if s.fullFor(open.Team, open.PromptTokens) {
+		s.served.refuse(open.Team)
 		return peer.RefusedQueueFull
 	}
+	if s.estimatedWait() > time.Duration(open.DeadlineMillis)*time.Millisecond {
+		s.served.refuse(open.Team)
+		return peer.RefusedDeadline
+	}
+	s.served.admit(open.Team)
 	return ""
 }
 
-// push queues a step. It returns errQueueFull.
-func (s *scheduler) push(w *work) error {
+// fullFor reports whether the queue has no room for a team's prompt. The last
+// part of the queue is kept for teams that have little waiting, so that a
+// large team can't fill it.
+func (s *scheduler) fullFor(name string, promptTokens int) bool {
+	if s.queue.Len() >= s.limits.items {
+		return true
+	}
+	limit := s.limits.tokens
+	teams := max(len(s.queue.TeamCosts()), 1)
+	if s.queue.TeamCost(name) > s.queue.Cost()/teams {
+		limit -= int(float64(limit) * team.ReservedFraction)
+	}
+	return s.queue.Cost() > 0 && s.queue.Cost()+promptTokens > limit
+}
+
+// estimatedWait returns the time until a new item would be served if all
+// waiting items went first.
+func (s *scheduler) estimatedWait() time.Duration {
+	batches := s.queue.Len() / s.limits.batch
+	return time.Duration(batches) * time.Duration(s.stepMicros.Load()) * time.Microsecond
+}
+
+// push queues a work item.
+func (s *scheduler) push(w *work) {
 	s.mu.Lock()
-	if len(s.queue) >= s.maxQueue {
-		s.mu.Unlock()
-		return errQueueFull
+	ticket, err := s.queue.Push(team.Item[*work]{
+		Team: w.team, Priority: w.priority, Continues: w.continues,
+		Cost: w.cost, Deadline: w.deadline, Value: w,
+	})
+	if err == nil {
+		w.ticket = ticket
+		s.waiting[w.request] = w
 	}
-	s.queue = append(s.queue, w)
-	s.queued += w.cost
 	s.mu.Unlock()
 	select {
 	case s.wakeup <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
-func (s *scheduler) pop() []*work {
+// drop removes the waiting work of a sequence.
+func (s *scheduler) drop(id request.ID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := min(len(s.queue), s.maxBatch)
-	batch := s.queue[:n:n]
-	s.queue = s.queue[n:]
-	for _, w := range batch {
-		s.queued -= w.cost
+	if w := s.waiting[id]; w != nil {
+		s.queue.Remove(w.ticket)
+		delete(s.waiting, id)
 	}
-	s.running = n
-	return batch
+}
+
+// pop takes the next batch and the items whose deadline passed.
+func (s *scheduler) pop() (batch, expired []*work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run, late := s.queue.Pop(time.Now(), s.limits.batch)
+	for _, item := range run {
+		item.Value.dispatched = true
+		delete(s.waiting, item.Value.request)
+		batch = append(batch, item.Value)
+	}
+	for _, item := range late {
+		delete(s.waiting, item.Value.request)
+		expired = append(expired, item.Value)
+	}
+	s.running = len(batch)
+	return batch, expired
 }
 
 // Run feeds the engine until ctx ends.
 func (s *scheduler) Run(ctx context.Context) {
 	go s.cancelLoop(ctx)
 	for {
-		batch := s.pop()
+		batch, expired := s.pop()
+		for _, w := range expired {
+			s.failed(w, peer.FailedDeadline, "the deadline passed in the queue")
+		}
 		if len(batch) > 0 {
 			s.runBatch(ctx, batch)
 			continue
@@ -159,40 +233,71 @@
 }
 
 func (s *scheduler) runBatch(ctx context.Context, batch []*work) {
-	steps := make([]engine.Step, len(batch))
-	for i, w := range batch {
-		steps[i] = w.step
+	var steps []engine.Step
+	for _, w := range batch {
+		steps = append(steps, w.steps...)
 	}
 	start := time.Now()
 	bctx, cancel := context.WithTimeout(ctx, batchTimeout)
 	response, err := s.engine.Batch(bctx, engine.BatchRequest{Steps: steps})
 	cancel()
 	s.observeStep(time.Since(start))
-	for i, w := range batch {
-		switch {
-		case err != nil:
-			s.recoverStep(ctx, w, err)
-		case response.Results[i].Error != "":
-			s.failed(w, peer.FailedEngine, response.Results[i].Error)
-		default:
-			s.finished(w, response.Results[i])
+	next := 0
+	for _, w := range batch {
+		if err != nil {
+			s.recoverWork(ctx, w, err)
+			continue
+		}
+		s.complete(w, response.Results[next:next+len(w.steps)])
+		next += len(w.steps)
+	}
+}
+
+// complete passes on the results of a work item.
+func (s *scheduler) complete(w *work, results []engine.StepResult) {
+	for _, r := range results {
+		if r.Error != "" {
+			s.failed(w, peer.FailedEngine, r.Error)
+			return
 		}
 	}
+	s.served.serve(w.team, w.cost)
+	s.finished(w, results)
 }
 
-// recoverStep asks the engine what became of a step whose response was lost.
-// The step is never sent again, because the engine may be running it.
-func (s *scheduler) recoverStep(ctx context.Context, w *work, cause error) {
+// recoverWork asks the engine what became of a step whose response was lost.
+// The step is never sent again, because the engine may be running it. Results
+// of more than one step can't be asked for, so such work fails.
+func (s *scheduler) recoverWork(ctx context.Context, w *work, cause error) {
 	pctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	status, err := s.engine.Sequence(pctx, w.step.Sequence)
-	if err == nil && status.Last != nil && status.Last.Position == w.step.Position {
-		s.finished(w, *status.Last)
-		return
+	step := w.steps[len(w.steps)-1]
+	for len(w.steps) == 1 {
+		status, err := s.engine.Sequence(pctx, step.Sequence)
+		if err != nil {
+			break
+		}
+		if status.Last != nil && status.Last.Position == step.Position {
+			s.complete(w, []engine.StepResult{*status.Last})
+			return
+		}
+		if status.Pending == 0 || !sleep(pctx, probeInterval) {
+			break
+		}
 	}
 	s.failed(w, peer.FailedEngine, cause.Error())
 }
 
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (s *scheduler) observeStep(d time.Duration) {
 	old := s.stepMicros.Load()
 	sample := d.Microseconds()
@@ -226,8 +331,9 @@
 }
 
 // load returns the scheduler's part of the load report.
-func (s *scheduler) load() upstream.Load {
+func (s *scheduler) load() (upstream.Load, []peer.TeamLoad) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return upstream.Load{Queued: s.queued, Running: s.running, StepMicros: s.stepMicros.Load()}
+	load := upstream.Load{Queued: s.queue.Cost(), Running: s.running, StepMicros: s.stepMicros.Load()}
+	return load, s.served.report(s.queue.TeamCosts(), time.Now())
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -58,6 +58,9 @@
 	MaxBatch int
 	// MaxQueue bounds the waiting steps or calls. Default 1024.
 	MaxQueue int
+	// MaxQueueTokens bounds the cost of the waiting work. Default 1048576
+	// tokens.
+	MaxQueueTokens int
 	// OutputLogBytes bounds the output log of one sequence. Default 64 MiB.
 	OutputLogBytes int
 	// DrainTimeout bounds a planned stop. Default 10 min.
@@ -76,6 +79,7 @@
 	setDefault(&o.SuspectAfter, time.Second)
 	setDefault(&o.MaxBatch, 32)
 	setDefault(&o.MaxQueue, 1024)
+	setDefault(&o.MaxQueueTokens, 1<<20)
 	setDefault(&o.OutputLogBytes, 64<<20)
 	setDefault(&o.DrainTimeout, 10*time.Minute)
 	return o
@@ -200,7 +204,7 @@
 		Kind: upstream.KindEngine, Group: s.options.Group,
 		Model: info.Model, ModelLayers: info.ModelLayers, Layers: info.Layers,
 		Accelerator: info.Accelerator, MaxBatch: maxBatch, Version: info.Version,
-	}, maxBatch, s.options.MaxQueue)
+	}, schedulerLimits{batch: maxBatch, items: s.options.MaxQueue, tokens: s.options.MaxQueueTokens})
 	stage := newStage(s.node, scheduler, s.options.OutputLogBytes, time.Now)
 	return &engineWorker{scheduler: scheduler, stage: stage}
 }
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -34,8 +34,6 @@
 	pending  map[request.Position]*peer.Step
 	engineID string
 	deadline time.Time
-	// ran is true once a step was handed to the engine.
-	ran bool
 	// orphaned is when the entry's connection ended, or zero.
 	orphaned time.Time
 }
@@ -186,65 +184,75 @@
 	}
 }
 
-// startStep hands the next step to the scheduler. The caller holds s.mu.
+// startStep hands the next step, and those that wait right behind it, to the
+// scheduler. The caller holds s.mu.
 func (s *Stage) startStep(seq *sequence, step *peer.Step) {
-	seq.cursor.Start()
+	steps := []*peer.Step{step}
+	for next, ok := seq.pending[step.Position+1]; ok; next, ok = seq.pending[next.Position+1] {
+		delete(seq.pending, next.Position)
+		steps = append(steps, next)
+	}
+	seq.cursor.Start(len(steps))
 	w := &work{
-		request:      step.Request,
-		team:         seq.open.Team,
-		priority:     seq.open.Priority,
-		deadline:     seq.deadline,
-		promptTokens: step.PromptTokens,
-		cachedTokens: step.CachedTokens,
-		step: engine.Step{
-			Sequence:   seq.engineID,
-			Position:   step.Position,
-			Priority:   seq.open.Priority,
-			Prompt:     step.Prompt,
-			Token:      step.Token,
-			Activation: step.Activation,
-		},
-		cost: stepCost(seq.open.PromptTokens, step.Position),
+		request: step.Request, team: seq.open.Team, priority: seq.open.Priority, deadline: seq.deadline,
+		continues: step.Position > 0, promptTokens: step.PromptTokens, cachedTokens: step.CachedTokens,
 	}
-	if err := s.scheduler.push(w); err != nil {
-		seq.cursor.Abort()
-		s.reportFailure(seq, peer.FailedQueueFull, err.Error())
-		return
+	for _, st := range steps {
+		w.cost += stepCost(seq.open.PromptTokens, st.Position)
+		w.steps = append(w.steps, engine.Step{
+			Sequence: seq.engineID, Position: st.Position, Priority: seq.open.Priority,
+			Prompt: st.Prompt, Token: st.Token, Activation: st.Activation,
+		})
 	}
-	seq.ran = true
+	s.scheduler.push(w)
 }
 
-// finishStep is called by the scheduler with the result of a step.
-func (s *Stage) finishStep(w *work, result engine.StepResult) {
+// finishStep is called by the scheduler with the results of a work item.
+func (s *Stage) finishStep(w *work, results []engine.StepResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seq := s.sequences[w.request]
-	if seq == nil || seq.engineID != w.step.Sequence {
+	seq := s.sequenceOf(w)
+	if seq == nil {
 		return
 	}
-	output := pipeline.Output{
-		Activation: result.Activation, Token: result.Token, Text: result.Text, End: result.End,
-		PromptTokens: max(result.PromptTokens, w.promptTokens),
-		CachedTokens: max(result.CachedTokens, w.cachedTokens),
+	for _, result := range results {
+		output := pipeline.Output{
+			Activation: result.Activation, Token: result.Token, Text: result.Text, End: result.End,
+			PromptTokens: max(result.PromptTokens, w.promptTokens),
+			CachedTokens: max(result.CachedTokens, w.cachedTokens),
+		}
+		position := seq.cursor.Next()
+		seq.cursor.Finish()
+		seq.log.Append(output)
+		s.sendOutput(seq, position, output)
 	}
-	position := seq.cursor.Next()
-	seq.cursor.Finish()
-	seq.log.Append(output)
-	s.sendOutput(seq, position, output)
 	if next, ok := seq.pending[seq.cursor.Next()]; ok {
 		delete(seq.pending, seq.cursor.Next())
 		s.startStep(seq, next)
 	}
 }
 
+// sequenceOf returns the sequence that a work item belongs to, or nil if it
+// ended or was opened anew. The caller holds s.mu.
+func (s *Stage) sequenceOf(w *work) *sequence {
+	seq := s.sequences[w.request]
+	if seq == nil || seq.engineID != w.steps[0].Sequence {
+		return nil
+	}
+	return seq
+}
+
 // failStep is called by the scheduler for a step that can't be run.
 func (s *Stage) failStep(w *work, reason peer.FailureReason, detail string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seq := s.sequences[w.request]
-	if seq == nil || seq.engineID != w.step.Sequence {
+	seq := s.sequenceOf(w)
+	if seq == nil {
 		return
 	}
+	if !w.dispatched {
+		seq.cursor.Abort()
+	}
 	s.reportFailure(seq, reason, detail)
 	// The engine may have run the step, so this stage can't run it again.
 	s.closed[w.request] = closedSequence{attempt: seq.cursor.Attempt(), at: s.now()}
@@ -289,7 +297,7 @@
 func (s *Stage) reportFailure(seq *sequence, reason peer.FailureReason, detail string) {
 	_ = seq.entry.Send(&peer.SequenceFailed{
 		Request: seq.open.Request, Attempt: seq.cursor.Attempt(), Reason: reason,
-		Ran: seq.ran, Downstream: seq.open.Downstream, Detail: detail,
+		Ran: seq.cursor.Next() > 0 || seq.cursor.Running() > 0, Downstream: seq.open.Downstream, Detail: detail,
 	})
 }
 
@@ -313,6 +321,7 @@
 		return
 	}
 	delete(s.sequences, id)
+	s.scheduler.drop(id)
 	s.scheduler.cancel(seq.engineID)
 }
 
--- a/internal/sidecar/worker.go
+++ b/internal/sidecar/worker.go
@@ -75,9 +75,9 @@
 func (w *engineWorker) idle() bool { return w.stage.Len() == 0 }
 
 func (w *engineWorker) load() (upstream.Load, []peer.TeamLoad) {
-	load := w.scheduler.load()
+	load, teams := w.scheduler.load()
 	load.Sequences = w.stage.Len()
-	return load, nil
+	return load, teams
 }
 
 // serviceWorker serves a plain service.
--- /dev/null
+++ b/internal/standin/deployment/deployment.go
@@ -0,0 +1,301 @@
+// Package deployment starts entries, sidecars and the stand-ins of the systems
+// they serve in one process, over real sockets on the loopback interface.
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/engine"
+	"github.com/nutmegroute/nutmegroute/internal/entry"
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/operation"
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/platform"
+	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
+	"github.com/nutmegroute/nutmegroute/internal/service"
+	"github.com/nutmegroute/nutmegroute/internal/sidecar"
+	standinengine "github.com/nutmegroute/nutmegroute/internal/standin/engine"
+	standinplatform "github.com/nutmegroute/nutmegroute/internal/standin/platform"
+	standinservice "github.com/nutmegroute/nutmegroute/internal/standin/service"
+)
+
+const (
+	// peerSecret authenticates the processes of one deployment to each other.
+	// All of them live in one process, so it needs no protection.
+	peerSecret = "deployment-in-one-process"
+	// loopback lets the system choose a free port.
+	loopback = "127.0.0.1:0"
+	// headerTimeout bounds the reading of request headers at the stand-ins.
+	headerTimeout = 5 * time.Second
+)
+
+// Options describe a deployment.
+type Options struct {
+	// CallerListen holds the callers' address of each entry.
+	CallerListen []string
+	// Domains are the failure domains; replica i of a stage runs in domain
+	// (stage + i) modulo their number.
+	Domains []string
+	// Stages divide the model's layers; Replicas is the number of engines for
+	// each stage.
+	Stages, Replicas int
+	// Engine is the template of every engine; its Layers are set for each.
+	Engine standinengine.Config
+	// Services are the plain services, one upstream each unless Replicas of the
+	// service say otherwise.
+	Services []ServiceOptions
+	// InstanceLag is the lag of the platform's list. Default 0.
+	InstanceLag time.Duration
+	// Entry and Sidecar are templates for all processes.
+	Entry   entry.Options
+	Sidecar sidecar.Options
+	Log     *events.Logger
+}
+
+// ServiceOptions describe one plain service.
+type ServiceOptions struct {
+	Name     string
+	Replicas int
+}
+
+// EngineNode is one engine with its sidecar.
+type EngineNode struct {
+	*standinengine.Server
+	URL     string
+	Sidecar *sidecar.Sidecar
+	Process *Process
+}
+
+// Process is one running entry or sidecar.
+type Process struct {
+	ID     string
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+// Stop stops the process gracefully and waits for it.
+func (p *Process) Stop() error {
+	p.cancel()
+	<-p.done
+	return p.err
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Platform    *standinplatform.Server
+	PlatformURL string
+	Client      *platform.Client
+	Engines     []*EngineNode
+	Services    map[string]*standinservice.Server
+	Entries     []*entry.Entry
+	EntryProcs  []*Process
+
+	options   Options
+	processes []*Process
+	servers   []*http.Server
+	wg        sync.WaitGroup
+}
+
+// Start starts a deployment. Everything stops with Close.
+func Start(options Options) (*Deployment, error) {
+	if options.Log == nil {
+		options.Log = events.Nop()
+	}
+	d := &Deployment{options: options, Services: make(map[string]*standinservice.Server)}
+	if err := d.start(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start() error {
+	d.Platform = standinplatform.NewServer(standinplatform.Config{InstanceLag: d.options.InstanceLag})
+	url, err := d.serve(d.Platform.Handler())
+	if err != nil {
+		return err
+	}
+	d.PlatformURL = url
+	d.Client = platform.NewClient(url)
+	for stage := range d.options.Stages {
+		for replica := range d.options.Replicas {
+			if err := d.startEngine(stage, replica); err != nil {
+				return err
+			}
+		}
+	}
+	for _, s := range d.options.Services {
+		if err := d.startService(s); err != nil {
+			return err
+		}
+	}
+	for i, address := range d.options.CallerListen {
+		if err := d.startEntry(i, address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve serves a stand-in on a free port and returns its URL.
+func (d *Deployment) serve(h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", fmt.Errorf("deployment: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	d.servers = append(d.servers, server)
+	d.wg.Go(func() { _ = server.Serve(listener) })
+	return "http://" + listener.Addr().String(), nil
+}
+
+// layersOf divides the layers of a model evenly among the stages.
+func layersOf(layers, stages, stage int) pipeline.LayerRange {
+	return pipeline.LayerRange{From: layers * stage / stages, To: layers * (stage + 1) / stages}
+}
+
+func (d *Deployment) domain(i int) string { return d.options.Domains[i%len(d.options.Domains)] }
+
+func (d *Deployment) startEngine(stage, replica int) error {
+	config := d.options.Engine
+	config.Layers = layersOf(config.ModelLayers, d.options.Stages, stage)
+	server := standinengine.NewServer(config)
+	url, err := d.serve(server.Handler())
+	if err != nil {
+		return err
+	}
+	options := d.options.Sidecar
+	options.ID = fmt.Sprintf("%s-stage%d-%d", config.Model, stage, replica)
+	options.FailureDomain = d.domain(stage + replica)
+	options.Engine = engine.NewClient(url, nil)
+	options.Group = fmt.Sprintf("%s-stage%d", config.Model, stage)
+	s, p, err := d.startSidecar(options)
+	if err != nil {
+		return err
+	}
+	d.Engines = append(d.Engines, &EngineNode{Server: server, URL: url, Sidecar: s, Process: p})
+	return nil
+}
+
+func (d *Deployment) startService(o ServiceOptions) error {
+	server := standinservice.NewServer(standinservice.Config{})
+	d.Services[o.Name] = server
+	url, err := d.serve(server.Handler())
+	if err != nil {
+		return err
+	}
+	for replica := range o.Replicas {
+		options := d.options.Sidecar
+		options.ID = fmt.Sprintf("%s-%d", o.Name, replica)
+		options.FailureDomain = d.domain(replica)
+		options.Service = service.NewClient(url, nil)
+		options.ServiceName = o.Name
+		options.Claimer = operation.NewClaimer(recordstore.New(d.Client), operation.Options{})
+		if _, _, err := d.startSidecar(options); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startSidecar(options sidecar.Options) (*sidecar.Sidecar, *Process, error) {
+	options.Listen = loopback
+	options.Secret = peerSecret
+	s, err := sidecar.New(options)
+	if err != nil {
+		return nil, nil, fmt.Errorf("deployment: sidecar %s: %w", options.ID, err)
+	}
+	p := d.run(options.ID, s.Run)
+	d.Platform.RegisterInstance(platform.Instance{
+		ID: options.ID, Role: platform.RoleUpstream, Address: s.Address(),
+		FailureDomain: options.FailureDomain, State: platform.InstanceLive,
+	})
+	return s, p, nil
+}
+
+func (d *Deployment) startEntry(i int, callerListen string) error {
+	options := d.options.Entry
+	options.ID = fmt.Sprintf("entry-%d", i)
+	options.FailureDomain = d.domain(i)
+	options.PeerListen = loopback
+	options.CallerListen = callerListen
+	options.Secret = peerSecret
+	options.Platform = d.Client
+	options.Log = d.options.Log
+	e, err := entry.New(options)
+	if err != nil {
+		return fmt.Errorf("deployment: %s: %w", options.ID, err)
+	}
+	d.Entries = append(d.Entries, e)
+	d.EntryProcs = append(d.EntryProcs, d.run(options.ID, e.Run))
+	d.Platform.RegisterInstance(platform.Instance{
+		ID: options.ID, Role: platform.RoleEntry, Address: e.PeerAddress(),
+		FailureDomain: options.FailureDomain, State: platform.InstanceLive,
+	})
+	return nil
+}
+
+// run runs a process until it is stopped.
+func (d *Deployment) run(id string, f func(context.Context) error) *Process {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Process{ID: id, cancel: cancel, done: make(chan struct{})}
+	d.processes = append(d.processes, p)
+	go func() {
+		defer close(p.done)
+		p.err = f(ctx)
+	}()
+	return p
+}
+
+// Apply accepts a configuration change through the platform's store.
+func (d *Deployment) Apply(ctx context.Context, p config.Proposal) error {
+	_, err := config.NewStore(d.Client, config.StoreOptions{}).Accept(ctx, p)
+	return err
+}
+
+// WaitReady waits until every entry is ready and sees every engine.
+func (d *Deployment) WaitReady(ctx context.Context) error {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for !d.ready() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("deployment: not ready: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) ready() bool {
+	upstreams := len(d.processes) - len(d.Entries)
+	for _, e := range d.Entries {
+		if e.Ready() != nil || e.UsableUpstreams() < upstreams {
+			return false
+		}
+	}
+	return true
+}
+
+// Close stops everything and waits. Processes stop gracefully.
+func (d *Deployment) Close() {
+	var wg sync.WaitGroup
+	for _, p := range d.processes {
+		wg.Go(func() { _ = p.Stop() })
+	}
+	wg.Wait()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	for _, n := range d.Engines {
+		n.Server.Close()
+	}
+	d.wg.Wait()
+}
