Add the platform stand-in

Cause: configuration, operation records and leases need an object API with conditional writes, watches and outages to be tested against. Change: an in-memory store with one revision, paged lists, long-poll watches that also report deletions, the size limit, call counters and the lagging list of instances. Faults are set by Go methods or under /standin: down, slow, and writes that take effect but lose their response. A cut watch response carries the revision of its last object, so that a watcher goes on from the revision it got; carrying the store's revision was ruled out, because it would skip objects. A delayed write takes effect after its caller gave up, as in a slow store.

--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,199 @@
+package platform
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	api "github.com/nutmegroute/nutmegroute/internal/platform"
+)
+
+// DownMode says how the object API fails while it is down.
+type DownMode string
+
+const (
+	// DownNo means the object API works.
+	DownNo DownMode = ""
+	// DownUnavailable answers HTTP 503.
+	DownUnavailable DownMode = "unavailable"
+	// DownDrop closes connections without a response.
+	DownDrop DownMode = "drop"
+)
+
+// Faults are the faults that the stand-in shows.
+type Faults struct {
+	// Down applies to objects and watches, also those that wait.
+	Down DownMode `json:"down,omitempty"`
+	// InstancesDown applies to the list of instances.
+	InstancesDown DownMode `json:"instances_down,omitempty"`
+	// DelayMillis delays each call to objects and watches. A delayed write
+	// takes effect even if its caller has given up.
+	DelayMillis int64 `json:"delay_ms,omitempty"`
+	// LoseWrites is the number of next writes that take effect but whose
+	// connection is closed instead of being answered.
+	LoseWrites int `json:"lose_writes,omitempty"`
+	// LoseProbability loses the response of any other write in the same way.
+	LoseProbability float64 `json:"lose_probability,omitempty"`
+	// Seed determines which responses LoseProbability loses.
+	Seed uint64 `json:"seed,omitempty"`
+	// LosePrefix limits LoseWrites and LoseProbability to keys with a prefix.
+	LosePrefix string `json:"lose_prefix,omitempty"`
+}
+
+// Counters counts calls to the object API, also those that a fault answered. A
+// waiting watch counts as one read.
+type Counters struct {
+	Reads  uint64 `json:"reads"`
+	Writes uint64 `json:"writes"`
+}
+
+// Config configures a Server.
+type Config struct {
+	// InstanceLag is the age of the list of instances that callers see.
+	InstanceLag time.Duration
+	// Now is the clock of the lag. Default time.Now.
+	Now func() time.Time
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	now func() time.Time
+
+	mu        sync.Mutex
+	store     store
+	instances *instanceList
+	counters  Counters
+	faults    Faults
+	random    *rand.Rand
+	// changed is closed and replaced at each write and change of faults.
+	changed chan struct{}
+}
+
+// NewServer returns an empty stand-in.
+func NewServer(c Config) *Server {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return &Server{
+		now: c.Now, store: store{objects: make(map[string]api.Object)},
+		instances: newInstanceList(c.InstanceLag), changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the faults and restarts the random choices.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.random = rand.New(rand.NewPCG(f.Seed, 0))
+	s.notify()
+}
+
+// Faults returns the current faults; LoseWrites counts down.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counters returns the number of calls so far.
+func (s *Server) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters
+}
+
+// Object returns an object without passing through faults or counters. A
+// deleted or absent object has Deleted set.
+func (s *Server) Object(key string) api.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.store.objects[key]; ok {
+		return o
+	}
+	return api.Object{Key: key, Deleted: true}
+}
+
+// Objects returns all live objects with a prefix, in key order, without
+// passing through faults or counters.
+func (s *Server) Objects(prefix string) []api.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var objects []api.Object
+	for _, key := range s.store.keys {
+		if o := s.store.objects[key]; !o.Deleted && strings.HasPrefix(key, prefix) {
+			objects = append(objects, o)
+		}
+	}
+	return objects
+}
+
+// RegisterInstance adds or replaces a row of the list of instances. The state
+// defaults to live.
+func (s *Server) RegisterInstance(i api.Instance) {
+	if i.State == "" {
+		i.State = api.InstanceLive
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances.change(s.now(), i, false)
+}
+
+// MarkLeaving sets an instance's state to leaving. It returns false if the
+// instance is not registered.
+func (s *Server) MarkLeaving(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.instances.current[id]
+	if ok {
+		i.State = api.InstanceLeaving
+		s.instances.change(s.now(), i, false)
+	}
+	return ok
+}
+
+// RemoveInstance removes an instance. It returns false if the instance is not
+// registered.
+func (s *Server) RemoveInstance(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.instances.current[id]
+	if ok {
+		s.instances.change(s.now(), i, true)
+	}
+	return ok
+}
+
+// SetInstanceLag changes the lag of the list of instances.
+func (s *Server) SetInstanceLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances.lag = lag
+}
+
+// notify wakes the waiting watches.
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// write performs a write and decides whether its response is lost.
+func (s *Server) write(key string, version uint64, value []byte, deleted bool) (o api.Object, lost bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, err = s.store.write(key, version, value, deleted)
+	if err != nil {
+		return o, false, err
+	}
+	s.notify()
+	switch {
+	case !strings.HasPrefix(key, s.faults.LosePrefix):
+	case s.faults.LoseWrites > 0:
+		s.faults.LoseWrites--
+		lost = true
+	case s.faults.LoseProbability > 0:
+		lost = s.random.Float64() < s.faults.LoseProbability
+	}
+	return o, lost, nil
+}
