Keep a lost stage that has no replacement, and wait briefly for a first chain

Cause: with every replacement tried, the driver closed the stage it was about to use again, which threw away its cursor and made its engine run twice. Change: such a stage is bound again instead. A request that finds no usable chain waits until its target time to the first token, so that a rolling restart does not refuse it.

--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +29,8 @@
 	// rebindPause is the wait before a chain is tried again when no other
 	// upstream is left.
 	rebindPause = 100 * time.Millisecond
+	// chainRetry is the wait before a chain is looked for again.
+	chainRetry = 20 * time.Millisecond
 )
 
 // Stage is one stage of a chain.
@@ -127,7 +131,7 @@
 // run drives the sequence to its end and calls deliver for each piece.
 func (s *sequence) run(ctx context.Context, deliver func(request.Piece) error) error {
 	defer s.release()
-	stages, err := s.chooser.chain(s)
+	stages, err := s.firstChain(ctx)
 	if err != nil {
 		return err
 	}
@@ -152,6 +156,23 @@
 	}
 }
 
+// firstChain chooses a chain. If none is usable, it waits for one until the
+// target time to the first token has passed.
+func (s *sequence) firstChain(ctx context.Context) ([]Stage, error) {
+	patience := time.Now().Add(s.firstToken)
+	for {
+		stages, err := s.chooser.chain(s)
+		if err == nil || time.Now().After(patience) {
+			return stages, err
+		}
+		select {
+		case <-time.After(chainRetry):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // errStageLost is returned when a stage was lost and can't be replaced.
 var errStageLost = errors.New("entry: a stage was lost")
 
@@ -446,29 +467,31 @@
 	return nil
 }
 
-// replaceLost puts replacements in the place of lost stages. Without another
-// upstream the same ones are tried again after a pause.
+// replaceLost puts replacements in the place of lost stages. A stage without
+// another upstream is tried again after a pause; it keeps its cursor if it is
+// alive, and starts anew otherwise.
 func (s *sequence) replaceLost(ctx context.Context, lost map[int]string) error {
+	for _, i := range slices.Sorted(maps.Keys(lost)) {
+		s.record("stage-lost", fmt.Sprintf("%s: %s", s.stages[i].Instance, lost[i]))
+		s.excluded[s.stages[i].Instance] = true
+		if i == 0 && s.unresolved {
+			s.ran = true
+		}
+	}
 	stages := make([]binding, 0, len(s.stages))
+	pause := false
 	for i, b := range s.stages {
-		reason, bad := lost[i]
-		if !bad {
+		if _, bad := lost[i]; !bad {
 			stages = append(stages, b)
 			continue
 		}
-		s.record("stage-lost", fmt.Sprintf("%s: %s", b.Instance, reason))
-		s.abandon(b)
-		s.excluded[b.Instance] = true
-		if i == 0 && s.unresolved {
-			s.ran = true
-		}
 		replacements, err := s.chooser.replace(s, b.Stage)
 		if err != nil {
-			if err := s.waitForUpstream(ctx); err != nil {
-				return err
-			}
-			replacements = []Stage{b.Stage}
+			pause = true
+			stages = append(stages, binding{Stage: b.Stage})
+			continue
 		}
+		s.abandon(b)
 		for _, r := range replacements {
 			s.record("stage-replaced", fmt.Sprintf("%s by %s", b.Instance, r.Instance))
 			s.chooser.started(r)
@@ -476,6 +499,9 @@
 		}
 	}
 	s.stages = stages
+	if pause {
+		return s.waitForUpstream(ctx)
+	}
 	return nil
 }
 
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -185,7 +185,7 @@
 }
 
 func (d *Deployment) startService(o ServiceOptions) error {
-	server := standinservice.NewServer(standinservice.Config{})
+	server := standinservice.NewServer(standinservice.Options{})
 	d.Services[o.Name] = server
 	url, err := d.serve(server.Handler())
 	if err != nil {
