Choose chains with the planner

Cause: the first chooser scanned all upstreams and ignored links. Change: the entry takes the planner's choices and keeps round robin as the baseline of the measurements.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/callerapi"
+	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/profile"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 )
@@ -46,7 +47,7 @@
 	}
 	s := &sequence{
 		node: e.node, chooser: e.chooser,
-		id: r.ID, team: r.Team, model: p.Model, domains: p.FailureDomains,
+		id: r.ID, team: r.Team, model: p.Model, domains: planner.NewDomains(p.FailureDomains),
 		prompt: prompt, promptTokens: len(prompt)/bytesPerToken + 1, maxTokens: maxTokens,
 		priority:   p.Priority,
 		firstToken: time.Duration(p.FirstTokenMillis) * time.Millisecond,
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -1,69 +1,96 @@
 package entry
 
 import (
-	"cmp"
-	"slices"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
-// leastLoaded chooses, for each layer boundary, the usable upstream with the
-// least work in flight.
-type leastLoaded struct {
+// chooser chooses upstreams for the stages of a sequence.
+type chooser interface {
+	// chain returns a chain that covers the model, and what was weighed.
+	chain(random *rand.Rand, r planner.Request) (planner.Decision, error)
+	// replace returns stages that cover the layers of one stage of a chain.
+	replace(random *rand.Rand, c planner.Chain, index int, r planner.Request) ([]planner.Stage, error)
+}
+
+// plannedChooser takes the planner's choices.
+type plannedChooser struct {
+	planner *planner.Planner
+}
+
+func (c plannedChooser) chain(random *rand.Rand, r planner.Request) (planner.Decision, error) {
+	return c.planner.Choose(time.Now(), random, r)
+}
+
+func (c plannedChooser) replace(random *rand.Rand, chain planner.Chain, index int, r planner.Request) ([]planner.Stage, error) {
+	found, err := c.planner.ReplaceStage(time.Now(), random, chain, index, r)
+	if err != nil {
+		return nil, err
+	}
+	return found.Chain.Stages[found.Index : found.Index+found.Added], nil
+}
+
+// roundRobin is the baseline of the measurements: it takes the usable
+// upstreams of each layer range in turn, whatever their load or distance.
+type roundRobin struct {
 	directory *upstream.Directory
+	turn      atomic.Uint64
 }
 
-func (c *leastLoaded) chain(s *sequence) ([]Stage, error) {
-	var stages []Stage
+func (c *roundRobin) chain(_ *rand.Rand, r planner.Request) (planner.Decision, error) {
+	chain := planner.Chain{Model: r.Model}
 	for next := 0; ; {
-		u := c.best(s, func(l pipeline.LayerRange) bool { return l.From == next })
+		u := c.next(r, func(l pipeline.LayerRange) bool { return l.From == next })
 		if u == nil {
-			return nil, ErrNoChain
+			return planner.Decision{}, planner.ErrNoChain
 		}
-		stages = append(stages, stageOf(u))
+		chain.Stages = append(chain.Stages, stageOf(u))
 		next = u.Descriptor.Layers.To
 		if next == u.Descriptor.ModelLayers {
-			return stages, nil
+			chain.Layers = next
+			return planner.Decision{Chain: chain}, nil
 		}
 	}
 }
 
-func (c *leastLoaded) replace(s *sequence, lost Stage) ([]Stage, error) {
-	u := c.best(s, func(l pipeline.LayerRange) bool { return l == lost.Layers })
+func (c *roundRobin) replace(_ *rand.Rand, chain planner.Chain, index int, r planner.Request) ([]planner.Stage, error) {
+	r.Exclude.Upstreams = append(r.Exclude.Upstreams, chain.Stages[index].ID)
+	u := c.next(r, func(l pipeline.LayerRange) bool { return l == chain.Stages[index].Layers })
 	if u == nil {
-		return nil, ErrNoChain
+		return nil, planner.ErrNoChain
 	}
-	return []Stage{stageOf(u)}, nil
+	return []planner.Stage{stageOf(u)}, nil
 }
 
-func (c *leastLoaded) best(s *sequence, fits func(pipeline.LayerRange) bool) *upstream.Upstream {
-	var candidates []*upstream.Upstream
+func (c *roundRobin) next(r planner.Request, fits func(pipeline.LayerRange) bool) *upstream.Upstream {
+	var usable []*upstream.Upstream
 	for _, u := range c.directory.All() {
-		if u.Descriptor.Model == s.model && u.Status().Usable() && !s.excluded[u.ID] && fits(u.Descriptor.Layers) {
-			candidates = append(candidates, u)
+		if u.Descriptor.Model == r.Model && u.Status().Usable() && fits(u.Descriptor.Layers) && !excludes(r.Exclude, u.ID) {
+			usable = append(usable, u)
 		}
 	}
-	if len(candidates) == 0 {
+	if len(usable) == 0 {
 		return nil
 	}
-	return slices.MinFunc(candidates, func(a, b *upstream.Upstream) int {
-		return cmp.Compare(a.InFlight(), b.InFlight())
-	})
+	return usable[c.turn.Add(1)%uint64(len(usable))]
 }
 
-func (c *leastLoaded) started(s Stage) {
-	if u, ok := c.directory.Get(s.Instance); ok {
-		u.Acquire()
+func excludes(e planner.Exclude, id upstream.InstanceID) bool {
+	for _, x := range e.Upstreams {
+		if x == id {
+			return true
+		}
 	}
+	return false
 }
 
-func (c *leastLoaded) ended(s Stage) {
-	if u, ok := c.directory.Get(s.Instance); ok {
-		u.Release()
+func stageOf(u *upstream.Upstream) planner.Stage {
+	return planner.Stage{
+		Upstream: u, ID: u.ID, Address: u.Address, Domain: u.Domain, Layers: u.Descriptor.Layers,
 	}
 }
-
-func stageOf(u *upstream.Upstream) Stage {
-	return Stage{Instance: u.ID, Address: u.Address, Layers: u.Descriptor.Layers}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/metrics"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
 	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
@@ -35,6 +36,8 @@
 const (
 	// drainPoll is how often a leaving entry looks whether it is idle.
 	drainPoll = 20 * time.Millisecond
+	// planInterval is the time between two computations of the templates.
+	planInterval = 250 * time.Millisecond
 	// headerTimeout bounds the reading of request headers.
 	headerTimeout = 5 * time.Second
 )
@@ -58,6 +61,9 @@
 	SuspectAfter time.Duration
 	// Star sends activations through the entry. Default false.
 	Star bool
+	// RoundRobin takes upstreams in turn. It is the baseline of the
+	// measurements. Default false.
+	RoundRobin bool
 	// DrainDelay is the time during which a leaving entry still accepts
 	// requests. Default 2 s.
 	DrainDelay time.Duration
@@ -113,6 +119,7 @@
 	scope          tally.Scope
 	closeMetrics   io.Closer
 	sync           *configsync.Syncer
+	planner        *planner.Planner
 	chooser        chooser
 	sequences      *sequenceTable
 	calls          *callTable
@@ -134,7 +141,11 @@
 		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
 	})
 	e.directory = upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter})
-	e.chooser = &leastLoaded{directory: e.directory}
+	e.planner = planner.New(planner.Config{Domain: options.FailureDomain}, e.directory)
+	e.chooser = plannedChooser{e.planner}
+	if options.RoundRobin {
+		e.chooser = &roundRobin{directory: e.directory}
+	}
 	e.store = config.NewStore(options.Platform, config.StoreOptions{})
 	e.canceller = operation.NewCanceller(recordstore.New(options.Platform), operation.Options{})
 	e.scope, e.metrics, e.closeMetrics = metrics.NewScope(map[string]string{"instance": options.ID}, options.Log)
@@ -184,6 +195,7 @@
 	g.Go(func() error { return serve(callerServer, e.callerListener) })
 	g.Go(func() error { e.membership.Run(work); return nil })
 	g.Go(func() error { e.sync.Run(work); return nil })
+	g.Go(func() error { e.planLoop(work); return nil })
 	g.Go(func() error { return ignoreCanceled(e.store.Follow(work, e.replica)) })
 
 	<-ctx.Done()
@@ -201,6 +213,20 @@
 	return nil
 }
 
+// planLoop keeps the planner's templates up to date.
+func (e *Entry) planLoop(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			e.planner.Rebuild(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // ignoreCanceled drops the error of a context that was cancelled on purpose.
 func ignoreCanceled(err error) error {
 	if errors.Is(err, context.Canceled) {
--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -5,20 +5,19 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/peer"
-	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
 // Errors of a sequence.
 var (
-	// ErrNoChain is returned when no usable chain covers the model.
-	ErrNoChain = errors.New("entry: no usable chain of upstreams covers the model")
 	// errAbandoned is returned when the caller left.
 	errAbandoned = errors.New("entry: the caller left")
 )
@@ -33,27 +32,9 @@
 	chainRetry = 20 * time.Millisecond
 )
 
-// Stage is one stage of a chain.
-type Stage struct {
-	Instance upstream.InstanceID
-	Address  string
-	Layers   pipeline.LayerRange
-}
-
-// chooser chooses upstreams for the stages of a sequence.
-type chooser interface {
-	// chain returns stages that cover the model. It returns ErrNoChain.
-	chain(s *sequence) ([]Stage, error)
-	// replace returns stages that cover the layers of one lost stage.
-	replace(s *sequence, lost Stage) ([]Stage, error)
-	// started and ended bracket the time a stage works for a sequence.
-	started(Stage)
-	ended(Stage)
-}
-
 // binding is a stage bound to the current attempt.
 type binding struct {
-	Stage
+	planner.Stage
 	conn   *peer.Conn
 	next   request.Position
 	opened bool
@@ -70,11 +51,12 @@
 type sequence struct {
 	node    *peer.Node
 	chooser chooser
+	random  *rand.Rand
 
 	id           request.ID
 	team         string
 	model        string
-	domains      []string
+	domains      planner.Domains
 	prompt       string
 	promptTokens int
 	maxTokens    int
@@ -85,8 +67,9 @@
 	star         bool
 
 	attempt  request.Attempt
+	chain    planner.Chain
 	stages   []binding
-	excluded map[upstream.InstanceID]bool
+	excluded []upstream.InstanceID
 	answer   *request.Assembler
 	tokens   []int
 	// unresolved is true while a step is at a first stage that has not said
@@ -104,7 +87,7 @@
 }
 
 func (s *sequence) init() {
-	s.excluded = make(map[upstream.InstanceID]bool)
+	s.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	s.answer = request.NewAssembler()
 	s.notify = make(chan struct{}, 1)
 }
@@ -131,11 +114,9 @@
 // run drives the sequence to its end and calls deliver for each piece.
 func (s *sequence) run(ctx context.Context, deliver func(request.Piece) error) error {
 	defer s.release()
-	stages, err := s.firstChain(ctx)
-	if err != nil {
+	if err := s.chooseChain(ctx); err != nil {
 		return err
 	}
-	s.setStages(stages)
 	for {
 		if err := s.bind(ctx); err != nil {
 			return err
@@ -156,32 +137,45 @@
 	}
 }
 
-// firstChain chooses a chain. If none is usable, it waits for one until the
-// target time to the first token has passed.
-func (s *sequence) firstChain(ctx context.Context) ([]Stage, error) {
+// chooseChain chooses the first chain. If none is usable, it waits for one
+// until the target time to the first token has passed.
+func (s *sequence) chooseChain(ctx context.Context) error {
 	patience := time.Now().Add(s.firstToken)
 	for {
-		stages, err := s.chooser.chain(s)
-		if err == nil || time.Now().After(patience) {
-			return stages, err
+		decision, err := s.chooser.chain(s.random, s.planRequest())
+		if err == nil {
+			s.record("chain-chosen", decision.String())
+			s.setChain(decision.Chain)
+			return nil
+		}
+		if time.Now().After(patience) {
+			return err
 		}
 		select {
 		case <-time.After(chainRetry):
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return ctx.Err()
 		}
 	}
 }
 
+func (s *sequence) planRequest() planner.Request {
+	return planner.Request{
+		Model: s.model, Domains: s.domains, Prefix: planner.PrefixKey(s.prompt),
+		Exclude: planner.Exclude{Upstreams: s.excluded},
+	}
+}
+
 // errStageLost is returned when a stage was lost and can't be replaced.
 var errStageLost = errors.New("entry: a stage was lost")
 
-// setStages installs a chain of stages that hold nothing yet.
-func (s *sequence) setStages(stages []Stage) {
-	s.stages = s.stages[:0]
-	for _, stage := range stages {
+// setChain installs a chain whose stages hold nothing yet.
+func (s *sequence) setChain(chain planner.Chain) {
+	s.chain = chain
+	s.stages = nil
+	chain.Acquire()
+	for _, stage := range chain.Stages {
 		s.stages = append(s.stages, binding{Stage: stage})
-		s.chooser.started(stage)
 	}
 }
 
@@ -472,8 +466,8 @@
 // alive, and starts anew otherwise.
 func (s *sequence) replaceLost(ctx context.Context, lost map[int]string) error {
 	for _, i := range slices.Sorted(maps.Keys(lost)) {
-		s.record("stage-lost", fmt.Sprintf("%s: %s", s.stages[i].Instance, lost[i]))
-		s.excluded[s.stages[i].Instance] = true
+		s.record("stage-lost", fmt.Sprintf("%s: %s", s.stages[i].ID, lost[i]))
+		s.excluded = append(s.excluded, s.stages[i].ID)
 		if i == 0 && s.unresolved {
 			s.ran = true
 		}
@@ -485,7 +479,7 @@
 			stages = append(stages, b)
 			continue
 		}
-		replacements, err := s.chooser.replace(s, b.Stage)
+		replacements, err := s.chooser.replace(s.random, s.chain, i, s.planRequest())
 		if err != nil {
 			pause = true
 			stages = append(stages, binding{Stage: b.Stage})
@@ -493,12 +487,16 @@
 		}
 		s.abandon(b)
 		for _, r := range replacements {
-			s.record("stage-replaced", fmt.Sprintf("%s by %s", b.Instance, r.Instance))
-			s.chooser.started(r)
+			s.record("stage-replaced", fmt.Sprintf("%s by %s", b.ID, r.ID))
+			r.Upstream.Acquire()
 			stages = append(stages, binding{Stage: r})
 		}
 	}
 	s.stages = stages
+	s.chain.Stages = nil
+	for _, b := range stages {
+		s.chain.Stages = append(s.chain.Stages, b.Stage)
+	}
 	if pause {
 		return s.waitForUpstream(ctx)
 	}
@@ -508,7 +506,7 @@
 // waitForUpstream pauses when every upstream that could take over has been
 // tried, and forgets which ones were.
 func (s *sequence) waitForUpstream(ctx context.Context) error {
-	clear(s.excluded)
+	s.excluded = nil
 	select {
 	case <-time.After(rebindPause):
 		return nil
@@ -519,7 +517,7 @@
 
 // abandon tells a lost stage to stop working for the sequence.
 func (s *sequence) abandon(b binding) {
-	s.chooser.ended(b.Stage)
+	b.Upstream.Release()
 	if b.conn != nil {
 		_ = b.conn.Send(&peer.CloseSequence{Request: s.id, Attempt: s.attempt})
 	}
