callerapi: Serve chat completions and plain services to callers

A stream sends its headers with the first token, so that a request refused before it keeps its status; from then on the header says unknown and the last event holds the outcome. A failure in mid-stream ends with an error event and no [DONE]. X-Should-Retry: false keeps the official clients from repeating failed or unknown requests, which they otherwise do for every 5xx status. Iris's own error handlers were ruled out, because they replace an upstream's empty error body; its writer was ruled out for deadlines, which it hides. Options that change the form of a response (n, tools, stop and others) are rejected instead of ignored.

--- /dev/null
+++ b/internal/callerapi/server_test.go
@@ -0,0 +1,312 @@
+package callerapi
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+)
+
+// fakeBackend answers chats with tokens and then result, and calls with call.
+type fakeBackend struct {
+	tokens   []string
+	result   ChatResult
+	call     ServiceResult
+	ready    error
+	panics   bool
+	waits    bool
+	left     chan error
+	lastChat ChatRequest
+	lastCall ServiceRequest
+}
+
+func (b *fakeBackend) Authenticate(key string) (string, bool) { return "packs", key == "good-key" }
+func (b *fakeBackend) Profiles() []string                     { return []string{"desk", "speech"} }
+func (b *fakeBackend) NeedsKey(_, operation string) bool      { return operation != "check" }
+func (b *fakeBackend) Ready() error                           { return b.ready }
+func (b *fakeBackend) Metrics() http.Handler                  { return http.NotFoundHandler() }
+
+func (b *fakeBackend) Chat(ctx context.Context, r ChatRequest, token func(string) error) ChatResult {
+	b.lastChat = r
+	for _, t := range b.tokens {
+		if err := token(t); err != nil {
+			break
+		}
+	}
+	if b.panics {
+		panic("backend fault")
+	}
+	if b.waits {
+		<-ctx.Done()
+		b.left <- ctx.Err()
+	}
+	return b.result
+}
+
+func (b *fakeBackend) Call(_ context.Context, r ServiceRequest) ServiceResult {
+	b.lastCall = r
+	return b.call
+}
+
+func serve(t *testing.T, b Backend, log *events.Logger) *httptest.Server {
+	t.Helper()
+	s, err := NewServer(b, Options{MaxBody: 4096, MaxHeader: 2048, Log: log})
+	assert.NilError(t, err)
+	ts := httptest.NewUnstartedServer(s.Handler)
+	ts.Config = s
+	ts.Start()
+	t.Cleanup(ts.Close)
+	return ts
+}
+
+func do(t *testing.T, ts *httptest.Server, method, path, body string, header ...string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, ts.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer good-key")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Add(header[i], header[i+1])
+		if header[i+1] == "" {
+			req.Header.Del(header[i])
+		}
+	}
+	resp, err := ts.Client().Do(req)
+	assert.NilError(t, err)
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	_, err = request.ParseID(resp.Header.Get(HeaderRequestID))
+	assert.NilError(t, err, "%s %s has no request id", method, path)
+	return resp, string(data)
+}
+
+var (
+	completed = ChatResult{Result: Result{Outcome: request.OutcomeCompleted}, Finish: FinishLength, PromptTokens: 3, CompletionTokens: 2}
+	failed    = ChatResult{Result: Result{Outcome: request.OutcomeFailed, Err: &Error{Message: "stage lost"}}}
+	notRun    = ChatResult{Result: Result{Outcome: request.OutcomeNotRun, RetryAfter: 1500 * time.Millisecond,
+		Err: &Error{Status: 429, Message: "above the share", Type: "rate_limit_error"}}}
+)
+
+const chatText = `{"model":"desk","messages":[{"role":"user","content":"hi"}]`
+
+// Guards against responses that the official client can't read, and against a
+// partial response that it takes for a whole one.
+func TestOfficialClient(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		stream     bool
+		tokens     []string
+		result     ChatResult
+		text       string
+		errorText  string
+		wantStatus int
+	}{
+		{"whole", false, []string{"نعم", " <b>"}, completed, "نعم <b>", "", 0},
+		{"whole failed", false, []string{"a"}, failed, "", "stage lost", 502},
+		{"whole not run", false, nil, notRun, "", "above the share", 429},
+		{"stream", true, []string{"نعم", "", " <b>"}, completed, "نعم <b>", "", 0},
+		{"empty stream", true, nil, completed, "", "", 0},
+		{"stream not run", true, nil, notRun, "", "above the share", 429},
+		{"stream failed before the first token", true, nil, failed, "", "stage lost", 502},
+		{"stream failed later", true, []string{"a"}, failed, "a", "stage lost", 0},
+		{"contradicting result", true, nil, ChatResult{}, "", "may have run", 500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := &fakeBackend{tokens: c.tokens, result: c.result}
+			client := openai.NewClient(option.WithBaseURL(serve(t, b, nil).URL+"/v1"), option.WithAPIKey("good-key"), option.WithMaxRetries(0))
+			params := openai.ChatCompletionNewParams{
+				Model:     "desk",
+				MaxTokens: openai.Int(7),
+				Messages:  []openai.ChatCompletionMessageParamUnion{openai.SystemMessage("s"), openai.UserMessage("q")},
+			}
+			var got openai.ChatCompletion
+			var err error
+			if c.stream {
+				params.StreamOptions.IncludeUsage = openai.Bool(true)
+				s := client.Chat.Completions.NewStreaming(t.Context(), params)
+				acc := openai.ChatCompletionAccumulator{}
+				for s.Next() {
+					assert.Assert(t, acc.AddChunk(s.Current()))
+				}
+				got, err = acc.ChatCompletion, s.Err()
+			} else if resp, callErr := client.Chat.Completions.New(t.Context(), params); callErr == nil {
+				got = *resp
+			} else {
+				err = callErr
+			}
+			assert.DeepEqual(t, b.lastChat.Messages, []Message{{"system", "s"}, {"user", "q"}})
+			assert.Equal(t, b.lastChat.MaxTokens, 7)
+			if len(got.Choices) > 0 {
+				assert.Equal(t, got.Choices[0].Message.Content, c.text)
+			}
+			if c.errorText != "" {
+				var apiErr *openai.Error
+				if c.wantStatus == 0 {
+					assert.ErrorContains(t, err, c.errorText)
+					return
+				}
+				assert.Assert(t, errors.As(err, &apiErr) && apiErr.StatusCode == c.wantStatus, err)
+				assert.Assert(t, strings.Contains(apiErr.Message, c.errorText), apiErr.Message)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, got.Choices[0].FinishReason, "length")
+			assert.Equal(t, got.Usage.TotalTokens, int64(5))
+		})
+	}
+}
+
+// Guards against a stream whose end misstates the outcome, and against a
+// [DONE] after an error or a panic.
+func TestStreamEnd(t *testing.T) {
+	for _, c := range []struct {
+		backend fakeBackend
+		end     string
+	}{
+		{fakeBackend{tokens: []string{"a"}, result: completed}, `"outcome":"completed"}}` + "\n\ndata: [DONE]\n\n"},
+		{fakeBackend{tokens: []string{"a"}, result: failed}, `"outcome":"failed"}}` + "\n\n"},
+		{fakeBackend{tokens: []string{"a"}, panics: true}, `"outcome":"unknown"}}` + "\n\n"},
+	} {
+		resp, body := do(t, serve(t, &c.backend, nil), "POST", "/v1/chat/completions", chatText+`,"stream":true}`)
+		assert.Equal(t, resp.Header.Get(HeaderOutcome), "unknown")
+		assert.Assert(t, strings.HasSuffix(body, c.end), body)
+		assert.Equal(t, strings.Contains(body, "[DONE]"), strings.Contains(c.end, "[DONE]"))
+	}
+}
+
+// Guards against bad input that is run, answered with the wrong status, or
+// answered outside the OpenAI form.
+func TestRefusals(t *testing.T) {
+	const chat, buy = "/v1/chat/completions", "/v1/services/account/buy"
+	b := &fakeBackend{ready: errors.New("no revision")}
+	ts := serve(t, b, nil)
+	key := strings.Repeat("k", maxIdempotencyKey+1)
+	for _, c := range []struct {
+		method, path, body string
+		header             []string
+		status             int
+		want               string
+	}{
+		{"POST", chat, `{`, nil, 400, "invalid_json"},
+		{"POST", chat, chatText + `}x`, nil, 400, "invalid_json"},
+		{"POST", chat, "\"\xff\"", nil, 400, "not valid UTF-8"},
+		{"POST", chat, `[]`, nil, 400, "invalid_type"},
+		{"POST", chat, `null`, nil, 400, "at least one message"},
+		{"POST", chat, chatText + `,"max_tokens":0}`, nil, 400, "max_tokens"},
+		{"POST", chat, chatText + `,"max_tokens":-1}`, nil, 400, "max_tokens"},
+		{"POST", chat, chatText + `,"max_tokens":1048577}`, nil, 400, "max_tokens"},
+		{"POST", chat, chatText + `,"max_tokens":1e30}`, nil, 400, "max_tokens"},
+		{"POST", chat, chatText + `,"max_tokens":1,"max_completion_tokens":2}`, nil, 400, "differ"},
+		{"POST", chat, chatText + `,"n":2}`, nil, 400, "unsupported_parameter"},
+		{"POST", chat, chatText + `,"stream_options":{}}`, nil, 400, "stream_options"},
+		{"POST", chat, `{"model":"desk","messages":[{"role":"user"}]}`, nil, 400, "messages[0].content"},
+		{"POST", chat, `{"model":"desk","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, 400, "text parts"},
+		{"POST", chat, `{"model":"desk","messages":[{"role":"tool","content":""}]}`, nil, 400, "messages[0].role"},
+		{"POST", chat, `{"messages":[{"role":"user","content":"hi"}]}`, nil, 400, "names a profile"},
+		{"POST", chat, chatText + `}`, []string{HeaderProfile, "none"}, 404, "model_not_found"},
+		{"POST", chat, chatText + `}`, []string{"Authorization", ""}, 401, "invalid_api_key"},
+		{"POST", chat, chatText + `}`, []string{"Authorization", "Bearer x"}, 401, "invalid_api_key"},
+		{"POST", chat, strings.Repeat(" ", 4097), nil, 413, "request_too_large"},
+		{"POST", chat, `{}`, []string{"X-Long", strings.Repeat("a", 2048)}, 431, "headers_too_large"},
+		{"GET", chat, "", nil, 405, "method_not_allowed"},
+		{"FOO", chat, "", nil, 501, "unknown method"},
+		{"GET", "/v1/chat", "", nil, 404, "not_found"},
+		{"GET", "/", "", nil, 404, "not_found"},
+		{"POST", "/v1/services/account/buy/x", "", nil, 404, "not_found"},
+		{"POST", "/v1/services/account/a%20b", "", nil, 404, "not_found"},
+		{"GET", "/readyz", "", nil, 503, "no revision"},
+		{"GET", buy, "", nil, 405, "needs POST"},
+		{"POST", buy, "", nil, 400, "idempotency_key_required"},
+		{"POST", buy, "", []string{HeaderIdempotencyKey, key}, 400, "Idempotency-Key"},
+		{"POST", buy, "", []string{HeaderIdempotencyKey, "a", HeaderIdempotencyKey, "b"}, 400, "Idempotency-Key"},
+		{"GET", "/v1/services/account/check?pack=1", "", nil, 400, "query"},
+	} {
+		resp, body := do(t, ts, c.method, c.path, c.body, c.header...)
+		assert.Equal(t, resp.StatusCode, c.status, "%s %s %s", c.method, c.path, body)
+		assert.Equal(t, resp.Header.Get(HeaderOutcome), "not-run")
+		assert.Assert(t, strings.HasPrefix(body, `{"error":{"message":`) && strings.Contains(body, c.want), body)
+	}
+	assert.Assert(t, b.lastChat.ID == "" && b.lastCall.ID == "", "a refused request reached the backend")
+}
+
+// Guards against service results that lose their status, outcome or retry
+// hints.
+func TestServiceResults(t *testing.T) {
+	ok := Result{Outcome: request.OutcomeCompleted}
+	for _, c := range []struct {
+		result                  ServiceResult
+		status                  int
+		outcome, body           string
+		retryAfter, shouldRetry string
+	}{
+		{ServiceResult{Result: ok, Status: 201, ContentType: "text/plain", Body: []byte("x"), Replayed: true}, 201, "completed", "x", "", ""},
+		{ServiceResult{Result: ok, Status: 404}, 404, "completed", "", "", "false"},
+		{ServiceResult{Result: ok, Status: 99}, 500, "unknown", "internal_error", "", "false"},
+		{ServiceResult{Result: notRun.Result}, 429, "not-run", "above the share", "2", ""},
+		{ServiceResult{Result: Result{Outcome: request.OutcomeNotRun, Err: &Error{Status: 422}}}, 422, "not-run", "error", "", ""},
+		{ServiceResult{Result: Result{Outcome: request.OutcomeUnknown, Err: &Error{}}}, 504, "unknown", "error", "", "false"},
+	} {
+		b := &fakeBackend{call: c.result}
+		resp, body := do(t, serve(t, b, nil), "POST", "/v1/services/account/buy", "pack", HeaderIdempotencyKey, "k1")
+		assert.Equal(t, resp.StatusCode, c.status)
+		assert.Equal(t, resp.Header.Get(HeaderOutcome), c.outcome)
+		assert.Equal(t, resp.Header.Get("Retry-After"), c.retryAfter)
+		assert.Equal(t, resp.Header.Get(headerShouldRetry), c.shouldRetry)
+		assert.Equal(t, resp.Header.Get(HeaderReplayed) == "true", c.result.Replayed)
+		assert.Assert(t, strings.Contains(body, c.body), body)
+		assert.Equal(t, b.lastCall.IdempotencyKey+string(b.lastCall.Body)+b.lastCall.Team, "k1packpacks")
+	}
+}
+
+// Guards against a backend that keeps working for a caller that left.
+func TestCallerLeaves(t *testing.T) {
+	b := &fakeBackend{tokens: []string{"a"}, waits: true, left: make(chan error, 1), result: failed}
+	ts := serve(t, b, nil)
+	req, err := http.NewRequest("POST", ts.URL+"/v1/chat/completions", strings.NewReader(chatText+`,"stream":true}`))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer good-key")
+	resp, err := ts.Client().Do(req)
+	assert.NilError(t, err)
+	_, err = resp.Body.Read(make([]byte, 1)) // the first token is flushed
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.ErrorIs(t, <-b.left, context.Canceled)
+}
+
+// Guards against a panic that ends the process or claims an outcome.
+func TestPanic(t *testing.T) {
+	var lines bytes.Buffer
+	log, err := events.New(&lines, "info", "json", "e1")
+	assert.NilError(t, err)
+	ts := serve(t, &fakeBackend{panics: true}, log)
+	resp, body := do(t, ts, "POST", "/v1/chat/completions", chatText+`}`)
+	assert.Equal(t, resp.StatusCode, 500, body)
+	assert.Equal(t, resp.Header.Get(HeaderOutcome), "unknown")
+	ts.Close() // waits for the handler, which logs
+	assert.Assert(t, strings.Contains(lines.String(), events.HandlerPanicked.Code()))
+}
+
+// Guards against panics of the decoder and against values outside its limits.
+func FuzzDecodeChat(f *testing.F) {
+	f.Add([]byte(chatText + `}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		call, err := decodeChat(body)
+		if err != nil {
+			assert.Assert(t, err.Status == 400 && err.Message != "" && err.Code != "")
+			return
+		}
+		assert.Assert(t, len(call.messages) > 0 && call.maxTokens >= 0 && call.maxTokens <= maxMaxTokens)
+	})
+}
