daemon: Add the program nutmegrouted

Cause: the entry and the sidecar need one program with settings, signals and exit codes, and neither process exists yet. Change: internal/daemon parses the command line with go-arg, loads the settings, makes the process through a constructor and runs it. The first SIGTERM or SIGINT cancels its context, a second one ends the program with 128 plus the signal's number. A process that doesn't return 5 s after its drain timeout is ended with exit code 4, so that a stuck stop can't block a replacement. The main passes the constructors in; a registry filled by init functions was ruled out, because it hides what a program is built from.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,269 @@
+// Package daemon is the logic of the program nutmegrouted: command line,
+// settings, signals and exit codes.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/metrics"
+	"github.com/nutmegroute/nutmegroute/internal/settings"
+)
+
+// Exit codes of the program. A second signal ends it with 128 plus the
+// signal's number.
+const (
+	// ExitOK means a complete planned stop, or valid settings with --check.
+	ExitOK = 0
+	// ExitFailed means that the process could not start or continue.
+	ExitFailed = 1
+	// ExitUsage means a wrong command line.
+	ExitUsage = 2
+	// ExitSettings means wrong settings.
+	ExitSettings = 3
+	// ExitDrainTimeout means that a planned stop interrupted work in progress.
+	ExitDrainTimeout = 4
+
+	exitSignalBase = 128
+)
+
+// stopGrace is the time that a process has beyond its drain timeout to
+// interrupt its work and return.
+const stopGrace = 5 * time.Second
+
+// ErrDrainTimeout is returned by Process.Run if a planned stop interrupted
+// work in progress because the drain timeout passed.
+var ErrDrainTimeout = errors.New("daemon: work in progress was interrupted by the drain timeout")
+
+var (
+	errNotBuilt   = errors.New("daemon: this program was built without the process")
+	errUnexpected = errors.New("daemon: the process ended without a planned stop")
+)
+
+// Process is an entry or a sidecar.
+type Process interface {
+	// Run serves until ctx ends; this begins a planned stop, which finishes
+	// the work in progress within the drain timeout. Run returns nil after a
+	// complete planned stop.
+	Run(ctx context.Context) error
+}
+
+// Environment is what the daemon provides to a process.
+type Environment struct {
+	Log   *events.Logger
+	Scope tally.Scope
+	// Metrics serves the page /metrics.
+	Metrics http.Handler
+	// Version is the program's version.
+	Version string
+}
+
+// Constructors make the processes. A nil one is reported as missing.
+type Constructors struct {
+	Entry   func(*settings.Entry, Environment) (Process, error)
+	Sidecar func(*settings.Sidecar, Environment) (Process, error)
+}
+
+type startOptions struct {
+	Config string `arg:"--config" placeholder:"FILE.ini" help:"settings file; required"`
+	Check  bool   `arg:"--check" help:"check the settings and exit"`
+}
+
+type commandLine struct {
+	Entry   *startOptions `arg:"subcommand:entry" help:"serve callers and operators"`
+	Sidecar *startOptions `arg:"subcommand:sidecar" help:"run beside one upstream"`
+}
+
+// options returns the options of the chosen subcommand.
+func (c commandLine) options() *startOptions {
+	if c.Entry != nil {
+		return c.Entry
+	}
+	return c.Sidecar
+}
+
+// Description implements arg.Described.
+func (commandLine) Description() string {
+	return "Router for language-model pipelines.\n"
+}
+
+// Version implements arg.Versioned.
+func (commandLine) Version() string { return "nutmegrouted " + Version() }
+
+// Version returns the program's version from its build information.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "unknown"
+	}
+	return info.Main.Version
+}
+
+// Main runs the program with the arguments after its name and returns its exit
+// code. The first SIGTERM or SIGINT begins a planned stop; Main returns at once
+// after a second one.
+func Main(args []string, stdout, stderr io.Writer, c Constructors) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	return run(args, stdout, stderr, signals, c)
+}
+
+func run(args []string, stdout, stderr io.Writer, signals <-chan os.Signal, c Constructors) int {
+	var line commandLine
+	parser, err := arg.NewParser(arg.Config{Program: "nutmegrouted"}, &line)
+	if err != nil {
+		panic(err) // the struct above is wrong
+	}
+	err = parser.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		parser.WriteHelp(stdout)
+		return ExitOK
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Fprintln(stdout, line.Version())
+		return ExitOK
+	case err == nil && line.Entry == nil && line.Sidecar == nil:
+		err = errors.New("a subcommand is missing: entry or sidecar")
+	case err == nil && line.options().Config == "":
+		err = errors.New("--config is required")
+	}
+	if err != nil {
+		parser.WriteUsage(stderr)
+		fmt.Fprintln(stderr, "error:", err)
+		return ExitUsage
+	}
+	options := line.options()
+	plan, err := load(line, c)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	if options.Check {
+		fmt.Fprintf(stdout, "%s: the settings are valid\n", options.Config)
+		return ExitOK
+	}
+	return plan.start(stderr, signals)
+}
+
+// plan is what the two processes have in common once their settings are read.
+type plan struct {
+	role         string
+	process      settings.Process
+	log          settings.Log
+	drainTimeout time.Duration
+	// make is nil if the program was built without the process.
+	make func(Environment) (Process, error)
+}
+
+// load reads the settings of the chosen process.
+func load(line commandLine, c Constructors) (plan, error) {
+	if line.Entry != nil {
+		s, err := settings.LoadEntry(line.Entry.Config)
+		if err != nil {
+			return plan{}, err
+		}
+		p := plan{role: "entry", process: s.Process, log: s.Log, drainTimeout: s.DrainTimeout}
+		if c.Entry != nil {
+			p.make = func(e Environment) (Process, error) { return c.Entry(s, e) }
+		}
+		return p, nil
+	}
+	s, err := settings.LoadSidecar(line.Sidecar.Config)
+	if err != nil {
+		return plan{}, err
+	}
+	p := plan{role: "sidecar", process: s.Process, log: s.Log, drainTimeout: s.DrainTimeout}
+	if c.Sidecar != nil {
+		p.make = func(e Environment) (Process, error) { return c.Sidecar(s, e) }
+	}
+	return p, nil
+}
+
+// start makes the process and runs it to its end.
+func (p plan) start(stderr io.Writer, signals <-chan os.Signal) int {
+	log, err := events.New(stderr, p.log.Level, string(p.log.Format), p.process.Instance)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	scope, handler, closer := metrics.NewScope(map[string]string{
+		"role": p.role, "instance": p.process.Instance, "failure_domain": p.process.FailureDomain,
+	}, log)
+	defer func() { _ = closer.Close() }()
+	if p.make == nil {
+		return fail(log, errNotBuilt)
+	}
+	process, err := p.make(Environment{Log: log, Scope: scope, Metrics: handler, Version: Version()})
+	if err != nil {
+		return fail(log, err)
+	}
+	log.Log(events.ProcessStarted).Str("role", p.role).Str("version", Version()).
+		Str("failure_domain", p.process.FailureDomain).Str("region", p.process.Region).Send()
+	return supervise(log, process, signals, p.drainTimeout+stopGrace)
+}
+
+// supervise runs the process until it ends, a second signal arrives or a
+// planned stop exceeds stopLimit.
+func supervise(log *events.Logger, process Process, signals <-chan os.Signal, stopLimit time.Duration) int {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- process.Run(ctx) }()
+
+	select {
+	case err := <-ended:
+		if err == nil {
+			err = errUnexpected
+		}
+		return fail(log, err)
+	case s := <-signals:
+		log.Log(events.ProcessStopping).Str("signal", s.String()).Send()
+		stop()
+	}
+	limit := time.NewTimer(stopLimit)
+	defer limit.Stop()
+	select {
+	case err := <-ended:
+		switch {
+		case err == nil:
+			log.Log(events.ProcessStopped).Send()
+			return ExitOK
+		case errors.Is(err, ErrDrainTimeout):
+			log.Log(events.DrainTimedOut).Err(err).Send()
+			return ExitDrainTimeout
+		}
+		return fail(log, err)
+	case s := <-signals:
+		log.Log(events.ProcessInterrupted).Str("signal", s.String()).Send()
+		return exitCode(s)
+	case <-limit.C:
+		log.Log(events.DrainTimedOut).Dur("limit_ms", stopLimit).Send()
+		return ExitDrainTimeout
+	}
+}
+
+func fail(log *events.Logger, err error) int {
+	log.Log(events.ProcessFailed).Str("error", eris.ToString(err, false)).Send()
+	return ExitFailed
+}
+
+func exitCode(s os.Signal) int {
+	if n, ok := s.(syscall.Signal); ok {
+		return exitSignalBase + int(n)
+	}
+	return ExitFailed
+}
