metrics: Keep tag values and use the project's buckets for timers

Cause: a look at the page showed outcome "not_run" for "not-run", route "_healthz" for "/healthz", and the reporter's default buckets for timers, which hold neither 26 ms nor 470 ms. Change: tag values pass through unchanged, since Prometheus allows any text in a label's value; the reporter gets the project's buckets. Requests that match no route get the route "none".

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -22,6 +22,8 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	contentTypeStream = "text/event-stream"
+	// routeNone is the metric tag of requests that match no route.
+	routeNone = "none"
 )
 
 // Defaults of Options.
@@ -159,7 +161,7 @@
 	id     request.ID
 	start  time.Time
 	writer *trackingWriter
-	// route is the path pattern, or "none" if the request reached no route.
+	// route is the path pattern, or routeNone.
 	route string
 	// outcome is set once the backend has returned.
 	outcome request.Outcome
@@ -192,7 +194,7 @@
 		w := &trackingWriter{ResponseWriter: raw, control: http.NewResponseController(raw), timeout: a.options.WriteTimeout}
 		// An earlier response on this connection may have left its deadline.
 		_ = w.control.SetWriteDeadline(time.Time{})
-		x := &exchange{id: request.NewID(), start: time.Now(), writer: w, route: "none"}
+		x := &exchange{id: request.NewID(), start: time.Now(), writer: w, route: routeNone}
 		w.Header().Set(HeaderRequestID, string(x.id))
 		w.Header().Set(HeaderOutcome, string(request.OutcomeNotRun))
 		defer a.count(x)
@@ -403,6 +405,7 @@
 }
 
 func notFound(w http.ResponseWriter, r *http.Request) {
+	exchangeOf(r).route = routeNone
 	writeError(w, &Error{Status: http.StatusNotFound, Type: typeInvalidRequest, Code: "not_found",
 		Message: fmt.Sprintf("unknown path %q", r.URL.Path)})
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"time"
+	"unicode"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -33,6 +34,15 @@
 	2500 * time.Millisecond, 5 * time.Second, 10 * time.Second, 30 * time.Second, 60 * time.Second,
 }
 
+// sanitizer leaves the values of tags as they are. Tally's default turns each
+// '-' and '/' into '_', so that names of teams or instances could collide.
+var sanitizer = tally.SanitizeOptions{
+	NameCharacters:       tallyprom.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:        tallyprom.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters:      tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', unicode.MaxRune}}},
+	ReplacementCharacter: tally.DefaultReplacementCharacter,
+}
+
 // NewScope returns a root scope whose metrics carry tags, the handler of
 // /metrics, and a closer that ends the reporting after a last report. The
 // page includes the metrics of the Go runtime and the process. Metrics that
@@ -44,6 +54,8 @@
 		Registerer:       registry,
 		Gatherer:         registry,
 		DefaultTimerType: tallyprom.HistogramTimerType,
+		// The scope's default buckets don't apply to timers.
+		DefaultHistogramBuckets: LatencyBuckets.AsValues(),
 		OnRegisterError: func(err error) {
 			log.Log(events.MetricsRejected).Err(err).Send()
 		},
@@ -53,7 +65,7 @@
 		Tags:                   tags,
 		CachedReporter:         reporter,
 		Separator:              tallyprom.DefaultSeparator,
-		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		SanitizeOptions:        &sanitizer,
 		DefaultBuckets:         LatencyBuckets,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
