Connect the daemon's settings to the entry and the sidecar

Cause: the program nutmegrouted had no constructors for its processes. Change: internal/daemon builds both from their settings; the sidecar serves /metrics, /healthz and /readyz, follows the teams' weights and dials seeds.

--- a/cmd/nutmegrouted/main.go
+++ b/cmd/nutmegrouted/main.go
@@ -8,9 +8,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/daemon"
 )
 
-// constructors names the packages that implement the processes.
-var constructors = daemon.Constructors{}
-
 func main() {
+	constructors := daemon.Constructors{Entry: daemon.NewEntry, Sidecar: daemon.NewSidecar}
 	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, constructors))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,7 +8,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -21,7 +20,6 @@
 	"github.com/nutmegroute/nutmegroute/internal/config"
 	"github.com/nutmegroute/nutmegroute/internal/configsync"
 	"github.com/nutmegroute/nutmegroute/internal/events"
-	"github.com/nutmegroute/nutmegroute/internal/metrics"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
@@ -80,10 +78,16 @@
 	// Operators maps names to the SHA-256 digests of their keys.
 	Operators map[string]string
 
+	// MaxInFlight bounds the requests in progress. Default 4096.
+	MaxInFlight int
+
 	// Platform is the client of the platform's object API and list.
 	Platform *platform.Client
 	// Log receives events. Default none.
 	Log *events.Logger
+	// Scope receives metrics and Metrics serves them. Default none.
+	Scope   tally.Scope
+	Metrics http.Handler
 }
 
 func (o Options) withDefaults() Options {
@@ -91,8 +95,13 @@
 	setDefault(&o.SuspectAfter, time.Second)
 	setDefault(&o.DrainDelay, 2*time.Second)
 	setDefault(&o.DrainTimeout, 10*time.Minute)
-	if o.Log == nil {
-		o.Log = events.Nop()
+	setDefault(&o.MaxInFlight, 4096)
+	setDefault(&o.Log, events.Nop())
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Metrics == nil {
+		o.Metrics = http.NotFoundHandler()
 	}
 	return o
 }
@@ -115,9 +124,6 @@
 	replica        *config.Replica
 	store          *config.Store
 	canceller      *operation.Canceller
-	metrics        http.Handler
-	scope          tally.Scope
-	closeMetrics   io.Closer
 	sync           *configsync.Syncer
 	planner        *planner.Planner
 	chooser        chooser
@@ -148,7 +154,6 @@
 	}
 	e.store = config.NewStore(options.Platform, config.StoreOptions{})
 	e.canceller = operation.NewCanceller(recordstore.New(options.Platform), operation.Options{})
-	e.scope, e.metrics, e.closeMetrics = metrics.NewScope(map[string]string{"instance": options.ID}, options.Log)
 	e.sync = configsync.New(e.node, e.replica, func(error) {})
 	e.membership = newMembership(e.node, e.directory, options.Platform, e.options.Advertise, options.FailureDomain, options.Seeds)
 	return e, nil
@@ -184,7 +189,7 @@
 	mux.Handle(peer.Path, e.node)
 	peerServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	callerServer, err := callerapi.NewServer(e, callerapi.Options{
-		MaxBody: e.options.MaxBody, MaxHeader: e.options.MaxHeader, Log: e.options.Log, Scope: e.scope,
+		MaxBody: e.options.MaxBody, MaxHeader: e.options.MaxHeader, Log: e.options.Log, Scope: e.options.Scope,
 	})
 	if err != nil {
 		return err
@@ -279,7 +284,7 @@
 }
 
 // Metrics implements callerapi.Backend.
-func (e *Entry) Metrics() http.Handler { return e.metrics }
+func (e *Entry) Metrics() http.Handler { return e.options.Metrics }
 
 // UsableUpstreams returns the number of upstreams that take new work.
 func (e *Entry) UsableUpstreams() int {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,8 +17,10 @@
 	"github.com/nutmegroute/nutmegroute/internal/config"
 	"github.com/nutmegroute/nutmegroute/internal/configsync"
 	"github.com/nutmegroute/nutmegroute/internal/engine"
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
@@ -31,6 +33,8 @@
 	// infoRetry is the wait before an engine that did not answer is asked
 	// again.
 	infoRetry = 200 * time.Millisecond
+	// seedInterval is the time between attempts to reach the seeds.
+	seedInterval = time.Second
 	// headerTimeout bounds the reading of request headers.
 	headerTimeout = 5 * time.Second
 	// recordTimeout bounds the wait for outcomes of claims at a planned stop.
@@ -45,7 +49,12 @@
 	// told. An empty Advertise means the listener's address.
 	Listen    string
 	Advertise string
-	Secret    string
+	// MetricsListen is the address of /metrics, /healthz and /readyz. Default
+	// none.
+	MetricsListen string
+	Secret        string
+	// Seeds are peer addresses from which the configuration is fetched.
+	Seeds []string
 	// HeartbeatInterval is the time between heartbeats. Default 250 ms.
 	HeartbeatInterval time.Duration
 	// SuspectAfter is the silence after which a peer counts as lost. Default
@@ -72,6 +81,12 @@
 	Service     Service
 	ServiceName string
 	Claimer     *operation.Claimer
+	// Records is the platform's store; the sidecar reads fencing numbers there.
+	Records *recordstore.Store
+	// Log receives events. Default none.
+	Log *events.Logger
+	// Metrics serves the metrics page. Default none.
+	Metrics http.Handler
 }
 
 func (o Options) withDefaults() Options {
@@ -82,6 +97,10 @@
 	setDefault(&o.MaxQueueTokens, 1<<20)
 	setDefault(&o.OutputLogBytes, 64<<20)
 	setDefault(&o.DrainTimeout, 10*time.Minute)
+	setDefault(&o.Log, events.Nop())
+	if o.Metrics == nil {
+		o.Metrics = http.NotFoundHandler()
+	}
 	return o
 }
 
@@ -99,9 +118,11 @@
 	options  Options
 	node     *peer.Node
 	listener net.Listener
-	replica  *config.Replica
-	sync     *configsync.Syncer
-	leaving  atomic.Bool
+	// metricsListener is nil if no metrics are served.
+	metricsListener net.Listener
+	replica         *config.Replica
+	sync            *configsync.Syncer
+	leaving         atomic.Bool
 	// worker is set before the listener is served.
 	worker worker
 }
@@ -117,6 +138,12 @@
 		options.Advertise = listener.Addr().String()
 	}
 	s := &Sidecar{options: options, listener: listener, replica: config.NewReplica()}
+	if options.MetricsListen != "" {
+		if s.metricsListener, err = net.Listen("tcp", options.MetricsListen); err != nil {
+			_ = listener.Close()
+			return nil, err
+		}
+	}
 	s.node = peer.NewNode(peer.Hello{
 		Role: peer.RoleSidecar, ID: options.ID, Address: options.Advertise, FailureDomain: options.FailureDomain,
 	}, s, func() uint64 { return uint64(s.replica.Revision()) }, peer.Options{
@@ -140,17 +167,18 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, s.node)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	status := &http.Server{Handler: s.statusHandler(), ReadHeaderTimeout: headerTimeout}
 
 	var g errgroup.Group
-	g.Go(func() error {
-		if err := server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	g.Go(func() error { return serve(server, s.listener) })
+	if s.metricsListener != nil {
+		g.Go(func() error { return serve(status, s.metricsListener) })
+	}
 	g.Go(func() error { s.worker.run(work); return nil })
 	g.Go(func() error { s.heartbeatLoop(work); return nil })
 	g.Go(func() error { s.sync.Run(work); return nil })
+	g.Go(func() error { s.weightLoop(work); return nil })
+	g.Go(func() error { s.seedLoop(work); return nil })
 
 	<-ctx.Done()
 	s.startLeaving()
@@ -158,9 +186,30 @@
 	stopWork()
 	s.node.Close()
 	_ = server.Close()
+	_ = status.Close()
 	return g.Wait()
 }
 
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// statusHandler serves /healthz, /readyz and /metrics.
+func (s *Sidecar) statusHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if s.leaving.Load() {
+			http.Error(w, "leaving", http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", s.options.Metrics)
+	return mux
+}
+
 // startWorker makes the worker for the upstream. It waits for an engine to
 // answer and returns the error of ctx.
 func (s *Sidecar) startWorker(ctx context.Context) error {
@@ -271,6 +320,44 @@
 	}
 }
 
+// weightLoop gives the worker the teams' weights whenever the configuration
+// changes.
+func (s *Sidecar) weightLoop(ctx context.Context) {
+	changed, cancel := s.replica.Subscribe()
+	defer cancel()
+	for {
+		for _, t := range s.replica.State().Teams() {
+			s.worker.setWeight(t.Name, t.Weight)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// seedLoop keeps connections to the seeds, from which the configuration is
+// fetched before any entry has found this sidecar.
+func (s *Sidecar) seedLoop(ctx context.Context) {
+	ticker := time.NewTicker(seedInterval)
+	defer ticker.Stop()
+	for {
+		for _, seed := range s.options.Seeds {
+			if seed != s.options.Advertise && s.node.Connection(seed) == nil {
+				dctx, cancel := context.WithTimeout(ctx, seedInterval)
+				_, _ = s.node.Dial(dctx, seed)
+				cancel()
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Connected implements peer.Handler.
 func (s *Sidecar) Connected(c *peer.Conn) {
 	if c.Hello().Role == peer.RoleEntry {
--- a/internal/sidecar/worker.go
+++ b/internal/sidecar/worker.go
@@ -22,6 +22,8 @@
 	drain()
 	// idle reports whether no work is in progress.
 	idle() bool
+	// setWeight sets the share of a team.
+	setWeight(team string, weight float64)
 	// load reports the load of the upstream and of each team.
 	load() (upstream.Load, []peer.TeamLoad)
 }
@@ -70,6 +72,8 @@
 
 func (w *engineWorker) disconnected(c *peer.Conn) { w.stage.Disconnected(c, c.DialedAddress()) }
 
+func (w *engineWorker) setWeight(team string, weight float64) { w.scheduler.setWeight(team, weight) }
+
 func (w *engineWorker) drain() { w.stage.Drain() }
 
 func (w *engineWorker) idle() bool { return w.stage.Len() == 0 }
@@ -105,6 +109,9 @@
 
 func (w *serviceWorker) disconnected(*peer.Conn) {}
 
+// setWeight does nothing: calls to a plain service are not queued by team.
+func (w *serviceWorker) setWeight(string, float64) {}
+
 func (w *serviceWorker) drain() { w.calls.Drain() }
 
 func (w *serviceWorker) idle() bool { return w.calls.Len() == 0 }
