--- a/internal/operation/claimer_test.go
+++ b/internal/operation/claimer_test.go
@@ -115,6 +115,21 @@
 	})
 }
 
+// Guards against a claim on a record that replaced a removed one, when the
+// machine was suspended during the claim: the wall clock moves on, the deadline
+// does not.
+func TestKeyExpiresDuringClaim(t *testing.T) {
+	var asleep time.Duration
+	store := storeView{fakeStore: newFakeStore(), before: func() fault { asleep = 2 * time.Hour; return faultNone }}
+	claimer := NewClaimer(store, Options{Now: func() time.Time { return testNow.Add(asleep) }})
+	req := testRequest(t, v7(testNow.Add(time.Hour-Retention)), 1, "a")
+	res := claimer.Run(t.Context(), req, nil)
+	assert.Equal(t, res.Outcome, request.OutcomeNotRun)
+	assert.ErrorIs(t, res.Err, ErrKeyExpired)
+	assert.NilError(t, claimer.Wait(t.Context()))
+	assert.Equal(t, store.record(req.Key.Path()).State, StateReleased)
+}
+
 // Guards against an outcome that is dropped because the caller left, and
 // against an execution that is aborted then.
 func TestCallerLeaves(t *testing.T) {
--- a/internal/operation/fake_test.go
+++ b/internal/operation/fake_test.go
@@ -24,6 +24,7 @@
 	objects map[string]StoredRecord
 	version uint64
 	calls   int
+	removed int
 	delayed []func()
 }
 
@@ -47,6 +48,7 @@
 	s.version++
 	if value == nil {
 		delete(s.objects, key)
+		s.removed++
 	} else {
 		s.objects[key] = StoredRecord{Key: key, Version: s.version, Value: value}
 	}
