--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -35,7 +35,12 @@
 	defer cancel()
 	e.sequences.add(s)
 	defer e.sequences.remove(s.id)
-	err := s.run(ctx, func(p request.Piece) error { return token(p.Text) })
+	err := s.run(ctx, func(p request.Piece) error {
+		if p.Text == "" {
+			return nil // the end of an answer carries no text
+		}
+		return token(p.Text)
+	})
 	return s.result(err)
 }
 
