peer: Name the dialing instance in the User-Agent header

The peer listener sees the same address and secret from every dialer, so a TCP proxy in front of it could not tell the links of two processes apart. The handshake now carries nutmegrouted/INSTANCE. Recognizing the dialer from its Hello was ruled out: that frame is masked and follows the handshake, when the proxy has already chosen the path.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -31,6 +31,10 @@
 // Path is the HTTP path of the peer protocol.
 const Path = "/peer"
 
+// UserAgentPrefix comes before the instance id in the User-Agent header of a
+// dialing peer.
+const UserAgentPrefix = "nutmegrouted/"
+
 const (
 	handshakeTimeout = 2 * time.Second
 	bearerPrefix     = "Bearer "
@@ -194,7 +198,7 @@
 	}
 	ws, response, err := websocket.Dial(ctx, scheme+"://"+address+Path, &websocket.DialOptions{
 		HTTPClient: n.client,
-		HTTPHeader: http.Header{"Authorization": {bearerPrefix + n.options.Secret}},
+		HTTPHeader: http.Header{"Authorization": {bearerPrefix + n.options.Secret}, "User-Agent": {n.userAgent()}},
 	})
 	if err != nil {
 		if response != nil && response.StatusCode == http.StatusUnauthorized {
@@ -205,6 +209,14 @@
 	return n.start(ctx, ws, address)
 }
 
+// userAgent names the dialing instance, so that a TCP proxy on the path can
+// tell the links to one address apart.
+func (n *Node) userAgent() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return UserAgentPrefix + n.hello.ID
+}
+
 // ServeHTTP accepts a peer's connection. It returns when the connection ends.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !n.authorized(r) {
