entry: Don't deny a step that is on its way when the next stage is lost

Cause: a first stage that reports the loss of its next stage before its step has arrived says that it has not run. Change: only reports about the step itself (deadline, engine, log) count. Ruled out: a late run after the answer; the step ran before CloseSequence.

--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -416,8 +416,10 @@
 var errExpired = errors.New("entry: the deadline passed in the queue")
 
 func (s *sequence) handleFailure(i int, f *peer.SequenceFailed, lost map[int]string) error {
-	if i == 0 && !f.Ran {
-		// The first stage dropped its only step, so nothing is left to run.
+	if i == 0 && !f.Ran && f.Reason != peer.FailedDownstream {
+		// The first stage dropped its only step, so nothing is left to run. A
+		// report about the next stage says nothing about the step, which may
+		// still be on its way.
 		s.unresolved = false
 	}
 	switch f.Reason {
