integration: Test answers, leaving, planned restarts and the configuration

TestAnswersStayApart: 200 streams through two entries under 6 faults. TestLeavingGetsNoNewWork: SIGTERM, and leaving in a list with a lag of 1 s. TestRollingRestart: two entries and eight sidecars one by one under load. TestConfigurationIsInForceEverywhere, TestEntryStartsFromSeeds: within the interim store; conflicts and lost answers to changes are not covered. BenchmarkRecovery: time from a fault to the next correct token.

--- a/test/integration/client_test.go
+++ b/test/integration/client_test.go
@@ -133,6 +133,12 @@
 	}, err
 }
 
+// prefix reports whether the tokens are the beginning of a's own answer.
+func (a answer) prefix() bool {
+	want := standinengine.Reference(model, modelLayers, a.prompt, 0)
+	return len(a.tokens) <= len(want) && slices.Equal(a.tokens, want[:len(a.tokens)])
+}
+
 // prompt returns a prompt that differs from all others of the test.
 func prompt(number, tokens int) string {
 	return fmt.Sprintf("announcement %d for the morning train [[tokens=%d]]", number, tokens)
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,6 +42,7 @@
 	// callerDigest is the SHA-256 digest of callerKey.
 	callerDigest = "4d2593cb25ad352971fa5a546858491d8654f10c9ebb8bd2ca1ce85ac7a7f16d"
 	serviceName  = "account"
+	secret       = "secret-of-the-test-cluster"
 	// patience bounds every wait for a condition. It is generous, because a
 	// slow machine must not fail a test.
 	patience = 60 * time.Second
@@ -150,17 +152,20 @@
 	n.current = nil
 }
 
-// runs returns the runs of a request by layer and position, in all engines
-// that the node has had.
-func (n *engineNode) runs(id string) map[int][]int {
+// servers returns all engines that the node has had.
+func (n *engineNode) servers() []*standinengine.Server {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	servers := slices.Clone(n.retired)
 	if n.current != nil {
-		if runs := n.current.RequestRuns(id).Runs; runs != nil {
-			return runs
-		}
+		servers = append(servers, n.current)
 	}
-	for _, s := range n.retired {
+	return servers
+}
+
+// runs returns the runs of a request by layer and position.
+func (n *engineNode) runs(id string) map[int][]int {
+	for _, s := range n.servers() {
 		if runs := s.RequestRuns(id).Runs; runs != nil {
 			return runs
 		}
@@ -168,6 +173,12 @@
 	return nil
 }
 
+// report sums up the runs of the current engine.
+func (n *engineNode) report() standinengine.RunReport {
+	servers := n.servers()
+	return servers[len(servers)-1].Runs()
+}
+
 // start starts a cluster and waits until every entry is linked to every
 // sidecar. Everything ends with the test.
 func start(t testing.TB, s shape) *cluster {
@@ -340,7 +351,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "[process]\ninstance = %s\nfailure_domain = %s\nregion = test\n", p.id, p.domain)
 	fmt.Fprintf(&b, "[platform]\naddress = %s\ntimeout = 500ms\n", p.c.store)
-	fmt.Fprintf(&b, "[peer]\nlisten = %s\nadvertise = %s\nsecret = secret-of-the-test-cluster\n", p.listen, p.advertise)
+	fmt.Fprintf(&b, "[peer]\nlisten = %s\nadvertise = %s\nsecret = %s\n", p.listen, p.advertise, secret)
 	if seeds != "" {
 		fmt.Fprintf(&b, "seeds = %s\n", seeds)
 	}
@@ -417,9 +428,14 @@
 }
 
 // isReady asks the process's readiness endpoint.
-func (p *process) isReady() bool {
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + p.status + "/readyz")
+func (p *process) isReady() bool { return p.answers("/readyz") }
+
+// healthy reports whether the process serves HTTP.
+func (p *process) healthy() bool { return p.answers("/healthz") }
+
+func (p *process) answers(path string) bool {
+	client := http.Client{Timeout: time.Second, Transport: callers.Transport}
+	response, err := client.Get("http://" + p.status + path)
 	if err != nil {
 		return false
 	}
