--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/callerapi"
 	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
@@ -96,6 +97,7 @@
 	// call may have run or may still run.
 	uncertain bool
 	refusal   string
+	trace     *trace
 }
 
 // NeedsKey implements callerapi.Backend.
@@ -118,12 +120,16 @@
 		entry: e, request: r, op: op,
 		deadline: time.Now().Add(time.Duration(op.DeadlineMillis) * time.Millisecond),
 		excluded: make(map[upstream.InstanceID]bool),
+		trace:    e.traces.start(r.ID, r.Team, r.Service+"/"+r.Operation),
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	e.openCalls.Add(1)
 	defer e.openCalls.Add(-1)
-	return c.run(ctx)
+	result := c.run(ctx)
+	c.trace.end(result.Outcome)
+	e.meters.requestEnded("service", r.Team, result.Outcome)
+	return result
 }
 
 // run dispatches until one dispatch is answered. Repeating a non-idempotent
@@ -138,12 +144,17 @@
 			continue
 		}
 		c.excluded[u.ID] = true
+		if c.attempt > 0 {
+			c.entry.meters.redispatched.Inc(1)
+		}
 		result := c.dispatch(ctx, u)
 		switch {
 		case result == nil:
 			c.uncertain = true
+			c.trace.add(c.attempt, traceLost, string(u.ID)+": no answer")
 		case result.Refused != "":
 			c.refusal = "refused: " + string(result.Refused)
+			c.trace.add(c.attempt, traceRefused, string(u.ID)+": "+string(result.Refused))
 		case result.Outcome == request.OutcomeNotRun && c.uncertain:
 			// This dispatch did not run, but an earlier one may have.
 			c.refusal = result.Detail
@@ -195,6 +206,7 @@
 	u.Acquire()
 	defer u.Release()
 	c.attempt++
+	c.trace.add(c.attempt, traceDispatch, string(u.ID))
 	id := callID{c.request.ID, c.attempt}
 	pending := c.entry.calls.add(id, conn)
 	defer c.entry.calls.remove(id)
@@ -242,7 +254,13 @@
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline.Add(cancelGrace))
 	defer cancel()
-	return settledResult(c.entry.canceller.Cancel(ctx, r))
+	done := c.entry.canceller.Cancel(ctx, r)
+	c.trace.add(c.attempt, traceSettled, string(done.Outcome))
+	if done.Outcome == request.OutcomeUnknown {
+		c.entry.options.Log.Log(events.OperationUnknown).Str("request", string(c.request.ID)).
+			Str("team", c.request.Team).Str("operation", c.request.Service+"/"+c.request.Operation).Err(done.Err).Send()
+	}
+	return settledResult(done)
 }
 
 func settledResult(done operation.Result) callerapi.ServiceResult {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/callerapi"
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/profile"
 	"github.com/nutmegroute/nutmegroute/internal/request"
@@ -41,7 +42,24 @@
 		}
 		return token(p.Text)
 	})
-	return s.result(err)
+	result := s.result(err)
+	s.trace.end(result.Outcome)
+	e.meters.requestEnded("chat", s.team, result.Outcome)
+	if result.Outcome != request.OutcomeCompleted && ctx.Err() == nil {
+		e.logFailedChat(s, result)
+	}
+	return result
+}
+
+// logFailedChat reports a request that did not complete although its caller
+// was still waiting.
+func (e *Entry) logFailedChat(s *sequence, result callerapi.ChatResult) {
+	event := events.SequenceIncomplete
+	if result.Outcome == request.OutcomeNotRun {
+		event = events.NoChain
+	}
+	e.options.Log.Log(event).Str("request", string(s.id)).Str("team", s.team).Str("model", s.model).
+		Str("outcome", string(result.Outcome)).Str("reason", result.Err.Message).Send()
 }
 
 func (e *Entry) newSequence(r callerapi.ChatRequest, p profile.Profile) *sequence {
@@ -59,6 +77,9 @@
 		deadline:   time.Now().Add(time.Duration(p.DeadlineMillis) * time.Millisecond),
 		noResume:   p.NoResume,
 		star:       e.options.Star,
+		trace:      e.traces.start(r.ID, r.Team, r.Profile),
+		meters:     e.meters,
+		log:        e.options.Log,
 	}
 	s.init()
 	return s
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -130,6 +130,8 @@
 	sequences      *sequenceTable
 	calls          *callTable
 	openCalls      atomic.Int64
+	traces         *traces
+	meters         *meters
 	leaving        atomic.Bool
 	closing        atomic.Bool
 }
@@ -137,7 +139,7 @@
 // New listens on the entry's addresses. It returns a listener's error.
 func New(options Options) (*Entry, error) {
 	options = options.withDefaults()
-	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable(), calls: newCallTable()}
+	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable(), calls: newCallTable(), traces: newTraces(), meters: newMeters(options.Scope)}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -154,8 +156,10 @@
 	}
 	e.store = config.NewStore(options.Platform, config.StoreOptions{})
 	e.canceller = operation.NewCanceller(recordstore.New(options.Platform), operation.Options{})
-	e.sync = configsync.New(e.node, e.replica, func(error) {})
-	e.membership = newMembership(e.node, e.directory, options.Platform, e.options.Advertise, options.FailureDomain, options.Seeds)
+	e.sync = configsync.New(e.node, e.replica, func(err error) {
+		options.Log.Log(events.RevisionBehind).Err(err).Send()
+	})
+	e.membership = newMembership(e.node, e.directory, options.Platform, e.options.Advertise, options.FailureDomain, options.Seeds, options.Log)
 	return e, nil
 }
 
@@ -298,10 +302,14 @@
 }
 
 // Connected implements peer.Handler.
-func (e *Entry) Connected(c *peer.Conn) { e.membership.connected(c) }
+func (e *Entry) Connected(c *peer.Conn) {
+	logConnected(e.options.Log, c)
+	e.membership.connected(c)
+}
 
 // Disconnected implements peer.Handler.
-func (e *Entry) Disconnected(c *peer.Conn, _ error) {
+func (e *Entry) Disconnected(c *peer.Conn, err error) {
+	logDisconnected(e.options.Log, c, err)
 	e.membership.disconnected(c)
 	e.sync.Disconnected(c)
 	e.sequences.lost(c)
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
@@ -13,6 +14,9 @@
 const (
 	// discoveryInterval is the time between reads of the platform's list.
 	discoveryInterval = time.Second
+	// staleReadings is the number of failed reads after which the list counts
+	// as stale.
+	staleReadings = 5
 	// redialInterval is the least time between two attempts to reach an
 	// address.
 	redialInterval = 250 * time.Millisecond
@@ -39,6 +43,7 @@
 	self      string
 	seeds     []string
 	domain    string
+	log       *events.Logger
 
 	mu        sync.Mutex
 	addresses map[string]*address
@@ -54,9 +59,9 @@
 	lastDial   time.Time
 }
 
-func newMembership(node *peer.Node, directory *upstream.Directory, lister instanceLister, self, domain string, seeds []string) *membership {
+func newMembership(node *peer.Node, directory *upstream.Directory, lister instanceLister, self, domain string, seeds []string, log *events.Logger) *membership {
 	m := &membership{
-		node: node, directory: directory, lister: lister, self: self, seeds: seeds, domain: domain,
+		node: node, directory: directory, lister: lister, self: self, seeds: seeds, domain: domain, log: log,
 		addresses: make(map[string]*address), leaving: make(map[string]bool), domains: make(map[string]string),
 	}
 	for _, seed := range seeds {
@@ -78,7 +83,7 @@
 		case <-redial.C:
 			m.dialAll(ctx)
 		case <-sweep.C:
-			m.directory.Sweep(time.Now())
+			logTransitions(m.log, m.directory.Sweep(time.Now())...)
 		case <-ctx.Done():
 			return
 		}
@@ -88,11 +93,19 @@
 func (m *membership) discoveryLoop(ctx context.Context) {
 	ticker := time.NewTicker(discoveryInterval)
 	defer ticker.Stop()
+	failures := 0
 	for {
-		if instances, err := m.lister.Instances(ctx); err == nil {
+		instances, err := m.lister.Instances(ctx)
+		if err != nil {
+			failures++
+		} else {
+			failures = 0
 			m.install(instances)
 			m.dialAll(ctx)
 		}
+		if failures == staleReadings {
+			m.log.Log(events.InstanceListStale).Err(err).Send()
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -132,7 +145,9 @@
 // markLeaving stops new work to an instance and tells its sidecar. The caller
 // holds m.mu.
 func (m *membership) markLeaving(i platform.Instance) {
-	_, _ = m.directory.MarkLeaving(upstream.InstanceID(i.ID))
+	if t, err := m.directory.MarkLeaving(upstream.InstanceID(i.ID)); err == nil {
+		logTransitions(m.log, t)
+	}
 	c := m.node.Connection(i.Address)
 	if c == nil || m.leaving[c.Hello().Process] {
 		return
@@ -196,9 +211,12 @@
 		m.hello(c, *f.Upstream)
 	}
 	delay := c.RTT() / 2
-	_, _ = m.directory.Heartbeat(time.Now(), upstream.InstanceID(h.ID), h.Process, upstream.Heartbeat{
+	transition, err := m.directory.Heartbeat(time.Now(), upstream.InstanceID(h.ID), h.Process, upstream.Heartbeat{
 		State: f.State, Load: f.Load, LinkDelay: delay, Revision: c.Revision(),
 	})
+	if err == nil {
+		logTransitions(m.log, transition)
+	}
 	links := m.directory.Links()
 	links.Observe(m.domain, h.FailureDomain, delay, 0)
 	m.mu.Lock()
@@ -214,6 +232,8 @@
 func (m *membership) disconnected(c *peer.Conn) {
 	h := c.Hello()
 	if h.Role == peer.RoleSidecar {
-		_, _ = m.directory.Lost(upstream.InstanceID(h.ID), h.Process)
+		if t, err := m.directory.Lost(upstream.InstanceID(h.ID), h.Process); err == nil {
+			logTransitions(m.log, t)
+		}
 	}
 }
--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/request"
@@ -79,7 +80,13 @@
 	ended      bool
 
 	usedPromptTokens int
-	onEvent          func(kind, detail string)
+	trace            *trace
+	meters           *meters
+	log              *events.Logger
+	// lastToken is when the latest token arrived, and lostAt when a stage was
+	// lost since then; zero if none.
+	lastToken time.Time
+	lostAt    time.Time
 
 	mu     sync.Mutex
 	events []sequenceEvent
@@ -144,7 +151,7 @@
 	for {
 		decision, err := s.chooser.chain(s.random, s.planRequest())
 		if err == nil {
-			s.record("chain-chosen", decision.String())
+			s.trace.chose(decision)
 			s.setChain(decision.Chain)
 			return nil
 		}
@@ -444,6 +451,7 @@
 	}
 	for _, piece := range ready {
 		s.ran = true
+		s.observeToken(time.Now())
 		s.tokens = append(s.tokens, piece.Token)
 		s.ended = piece.End || len(s.tokens) >= s.maxTokens
 		if !s.ended {
@@ -465,8 +473,11 @@
 // another upstream is tried again after a pause; it keeps its cursor if it is
 // alive, and starts anew otherwise.
 func (s *sequence) replaceLost(ctx context.Context, lost map[int]string) error {
+	if s.lostAt.IsZero() {
+		s.lostAt = time.Now()
+	}
 	for _, i := range slices.Sorted(maps.Keys(lost)) {
-		s.record("stage-lost", fmt.Sprintf("%s: %s", s.stages[i].ID, lost[i]))
+		s.trace.add(s.attempt, traceLost, fmt.Sprintf("%s: %s", s.stages[i].ID, lost[i]))
 		s.excluded = append(s.excluded, s.stages[i].ID)
 		if i == 0 && s.unresolved {
 			s.ran = true
@@ -487,7 +498,7 @@
 		}
 		s.abandon(b)
 		for _, r := range replacements {
-			s.record("stage-replaced", fmt.Sprintf("%s by %s", b.ID, r.ID))
+			s.stageReplaced(b.ID, r.ID, lost[i])
 			r.Upstream.Acquire()
 			stages = append(stages, binding{Stage: r})
 		}
@@ -532,9 +543,3 @@
 
 // mayHaveRun reports whether an engine may have run a step.
 func (s *sequence) mayHaveRun() bool { return s.ran || s.unresolved }
-
-func (s *sequence) record(kind, detail string) {
-	if s.onEvent != nil {
-		s.onEvent(kind, detail)
-	}
-}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
@@ -29,6 +30,7 @@
 	claimer *operation.Claimer
 	limit   int
 	slots   chan struct{}
+	log     *events.Logger
 
 	mu     sync.Mutex
 	active map[callID]context.CancelFunc
@@ -38,9 +40,9 @@
 
 // newCalls returns calls with at most running calls at the service and limit
 // calls in all.
-func newCalls(s Service, claimer *operation.Claimer, running, limit int) *calls {
+func newCalls(s Service, claimer *operation.Claimer, running, limit int, log *events.Logger) *calls {
 	return &calls{
-		service: s, claimer: claimer, limit: limit,
+		service: s, claimer: claimer, limit: limit, log: log,
 		slots:  make(chan struct{}, running),
 		active: make(map[callID]context.CancelFunc),
 	}
@@ -166,6 +168,28 @@
 		return operation.Response{Status: response.Status, ContentType: response.ContentType, Body: response.Body}, err
 	})
 	fillResult(result, done)
+	c.logClaimed(call, done)
+}
+
+// logClaimed reports the ends of claimed calls that an operator wants to know.
+func (c *calls) logClaimed(call *peer.Call, done operation.Result) {
+	var event events.Event
+	switch {
+	case errors.Is(done.Err, operation.ErrBodyMismatch):
+		event = events.RecordMismatch
+	case done.Outcome == request.OutcomeUnknown:
+		event = events.OperationUnknown
+	case done.Outcome == request.OutcomeNotRun && errors.Is(done.Err, operation.ErrUnavailable):
+		event = events.OperationRefused
+	case done.Outcome == request.OutcomeNotRun && errors.Is(done.Err, operation.ErrNotSent):
+		event = events.OperationReleased
+	case done.Replayed:
+		event = events.OperationReplayed
+	default:
+		return
+	}
+	c.log.Log(event).Str("request", string(call.Request)).Str("team", call.Team).
+		Str("operation", call.Service+"/"+call.Operation).Err(done.Err).Send()
 }
 
 func fillResult(result *peer.CallResult, done operation.Result) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -149,7 +149,9 @@
 	}, s, func() uint64 { return uint64(s.replica.Revision()) }, peer.Options{
 		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
 	})
-	s.sync = configsync.New(s.node, s.replica, func(error) {})
+	s.sync = configsync.New(s.node, s.replica, func(err error) {
+		options.Log.Log(events.RevisionBehind).Err(err).Send()
+	})
 	return s, nil
 }
 
@@ -264,7 +266,7 @@
 			Kind: upstream.KindService, Group: s.options.Group,
 			Service: s.options.ServiceName, MaxBatch: s.options.MaxBatch,
 		},
-		calls: newCalls(s.options.Service, s.options.Claimer, s.options.MaxBatch, s.options.MaxQueue),
+		calls: newCalls(s.options.Service, s.options.Claimer, s.options.MaxBatch, s.options.MaxQueue, s.options.Log),
 	}
 }
 
@@ -360,13 +362,16 @@
 
 // Connected implements peer.Handler.
 func (s *Sidecar) Connected(c *peer.Conn) {
+	s.options.Log.Log(events.PeerConnected).Str("peer", c.Hello().ID).Str("address", c.Hello().Address).Send()
 	if c.Hello().Role == peer.RoleEntry {
 		_ = c.Send(s.heartbeat())
 	}
 }
 
 // Disconnected implements peer.Handler.
-func (s *Sidecar) Disconnected(c *peer.Conn, _ error) {
+func (s *Sidecar) Disconnected(c *peer.Conn, err error) {
+	s.options.Log.Log(events.PeerDisconnected).Str("peer", c.Hello().ID).Str("address", c.Hello().Address).
+		Bool("silent", c.Idle()).Err(err).Send()
 	s.sync.Disconnected(c)
 	s.worker.disconnected(c)
 }
