Add the chain planner

Cause: a request needs a chain that covers the model once, chosen at a cost that doesn't grow with the fleet, and a failed stage needs a replacement. Change: internal/planner computes the four cheapest template paths over groups (shortest paths over layer boundaries), keeps them with a hysteresis of 20%, picks members by prefix affinity under a bounded load or by power of two choices, replaces one stage, and explains each decision. It is a package of its own because internal/upstream imports internal/pipeline. If no kept template is feasible, a request plans at once instead of waiting for the next rebuild; a model without any chain is remembered until the set of usable upstreams changes, so that requests don't repeat the search. Ruled out: planning per request, which is linear in the groups. Result: before nothing; after, templates equal a brute-force search in 100 random topologies per run, every chosen chain and replacement passes ValidateChain, and prefix affinity keeps each of 10 members within 1.25 times the mean.

--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,255 @@
+// Package planner chooses the chain of stages that serves a request, the
+// replacement of a stage, and the upstream of a plain service. It performs no
+// I/O; the clock and the random source are arguments.
+package planner
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+const (
+	// Templates is the number of template paths kept for each model and set of
+	// failure domains (K).
+	Templates = 4
+	// Hysteresis is the margin by which a new template must be cheaper than a
+	// feasible old one to replace it. It prevents templates from flapping with
+	// the noise of load reports.
+	Hysteresis = 0.20
+	// LoadBound is the factor of the group's mean load up to which prefix
+	// affinity is followed.
+	LoadBound = 1.25
+	// DefaultActivationBytes is the size of one token's activation between
+	// stages: 8192 values of 2 bytes.
+	DefaultActivationBytes = 16 << 10
+	// tokenBytes is the size of a step frame that holds a token.
+	tokenBytes = 128
+	// forgetAfter is the time after which an unused set of failure domains is
+	// no longer planned in the background.
+	forgetAfter = 10 * time.Minute
+	// PrefixBytes is the length of the prompt prefix that affinity uses.
+	PrefixBytes = 256
+)
+
+var (
+	// ErrUnknownModel is returned for a model that no upstream holds.
+	ErrUnknownModel = errors.New("planner: unknown model")
+	// ErrNoChain is returned if the usable upstreams don't cover the layers.
+	ErrNoChain = errors.New("planner: no feasible chain")
+	// ErrNoUpstream is returned if a plain service has no usable upstream.
+	ErrNoUpstream = errors.New("planner: no usable upstream")
+)
+
+// Config configures a Planner.
+type Config struct {
+	// Domain is the failure domain of this entry.
+	Domain string
+	// ActivationBytes is the size of one token's activation between stages.
+	// Default 16 KiB.
+	ActivationBytes int
+}
+
+// Domains is a restriction to failure domains. The zero value allows all.
+type Domains struct {
+	key  string
+	list []string
+}
+
+// NewDomains returns a restriction to the given failure domains; none means
+// all. Callers build it once per profile revision.
+func NewDomains(names []string) Domains {
+	list := slices.Clone(names)
+	slices.Sort(list)
+	list = slices.Compact(list)
+	return Domains{key: strings.Join(list, "\x00"), list: list}
+}
+
+func (d Domains) allows(domain string) bool {
+	if len(d.list) == 0 {
+		return true
+	}
+	_, found := slices.BinarySearch(d.list, domain)
+	return found
+}
+
+// Exclude names upstreams and failure domains that must not be chosen. It is
+// meant for the few upstreams that just failed.
+type Exclude struct {
+	Upstreams []upstream.InstanceID
+	Domains   []string
+}
+
+func (e Exclude) empty() bool { return len(e.Upstreams) == 0 && len(e.Domains) == 0 }
+
+func (e Exclude) upstream(id upstream.InstanceID) bool { return slices.Contains(e.Upstreams, id) }
+
+// Request says what a chain is chosen for.
+type Request struct {
+	Model   string
+	Domains Domains
+	// Prefix is the prompt prefix's key from PrefixKey; 0 means no affinity.
+	Prefix  uint64
+	Exclude Exclude
+}
+
+// PrefixKey returns the affinity key of a prompt. It is 0 for prompts shorter
+// than PrefixBytes, which gain less from a cached prefix than from the less
+// loaded upstream.
+func PrefixKey(prompt string) uint64 {
+	if len(prompt) < PrefixBytes {
+		return 0
+	}
+	return max(xxhash.Sum64String(prompt[:PrefixBytes]), 1)
+}
+
+// Planner chooses chains from a directory. It is safe for concurrent use; the
+// request path takes a lock only if a plan is missing or no longer feasible.
+type Planner struct {
+	config    Config
+	directory *upstream.Directory
+	mu        sync.Mutex
+	plans     atomic.Pointer[map[planKey]*plan]
+}
+
+type planKey struct{ model, domains string }
+
+// plan is the templates for one model and set of failure domains. It is
+// immutable but for the time of its last use.
+type plan struct {
+	domains   Domains
+	templates []*Template
+	// generation is the directory's when the plan was computed.
+	generation uint64
+	used       *atomic.Int64
+}
+
+// New returns a planner over a directory.
+func New(config Config, directory *upstream.Directory) *Planner {
+	if config.ActivationBytes <= 0 {
+		config.ActivationBytes = DefaultActivationBytes
+	}
+	p := &Planner{config: config, directory: directory}
+	p.plans.Store(&map[planKey]*plan{})
+	return p
+}
+
+// Rebuild computes the templates of every model and of every set of failure
+// domains in use. It runs in the background, periodically and when
+// Directory.Generation has changed.
+func (p *Planner) Rebuild(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := *p.plans.Load()
+	next := make(map[planKey]*plan, len(old))
+	for _, model := range p.directory.Models() {
+		key := planKey{model: model}
+		next[key] = p.replan(now, model, Domains{}, old[key])
+	}
+	for key, o := range old {
+		unused := now.Sub(time.Unix(0, o.used.Load()))
+		if key.domains != "" && unused < forgetAfter && p.directory.Model(key.model) != nil {
+			next[key] = p.replan(now, key.model, o.domains, o)
+		}
+	}
+	p.plans.Store(&next)
+}
+
+// Templates returns the current templates of a model, cheapest first as of the
+// last rebuild.
+func (p *Planner) Templates(model string, domains Domains) []*Template {
+	if o, ok := (*p.plans.Load())[planKey{model, domains.key}]; ok {
+		return o.templates
+	}
+	return nil
+}
+
+// plan returns the templates for a request. It computes them at once if there
+// are none or if none is feasible any more; fresh is then true.
+func (p *Planner) plan(now time.Time, r Request) (current *plan, fresh bool, err error) {
+	key := planKey{r.Model, r.Domains.key}
+	if current = (*p.plans.Load())[key]; p.serves(current) {
+		current.used.Store(now.UnixNano())
+		return current, false, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	plans := *p.plans.Load()
+	if current = plans[key]; p.serves(current) {
+		return current, false, nil
+	}
+	if p.directory.Model(r.Model) == nil {
+		return nil, false, fmt.Errorf("%w: %q", ErrUnknownModel, r.Model)
+	}
+	current = p.replan(now, r.Model, r.Domains, current)
+	next := make(map[planKey]*plan, len(plans)+1)
+	for k, v := range plans {
+		next[k] = v
+	}
+	next[key] = current
+	p.plans.Store(&next)
+	return current, true, nil
+}
+
+// serves reports whether a plan has a feasible template, or is known to have
+// none until the set of usable upstreams changes.
+func (p *Planner) serves(o *plan) bool {
+	if o == nil {
+		return false
+	}
+	if o.generation == p.directory.Generation() {
+		return true
+	}
+	return slices.ContainsFunc(o.templates, func(t *Template) bool { return t.usable() })
+}
+
+func (p *Planner) replan(now time.Time, model string, domains Domains, old *plan) *plan {
+	next := &plan{domains: domains, generation: p.directory.Generation(), used: new(atomic.Int64)}
+	next.used.Store(now.UnixNano())
+	var kept []*Template
+	if old != nil {
+		next.used = old.used
+		for _, t := range old.templates {
+			if t.usable() {
+				kept = append(kept, p.template(t.groups))
+			}
+		}
+	}
+	next.templates = merge(kept, p.cheapest(model, domains, Exclude{}))
+	return next
+}
+
+// merge applies the hysteresis: feasible old templates stay, new ones fill the
+// free places, and a further new one replaces the most expensive template only
+// if it is cheaper by the margin.
+func merge(kept, found []*Template) []*Template {
+	result := kept
+	for _, t := range found {
+		if slices.ContainsFunc(result, t.same) {
+			continue
+		}
+		if len(result) < Templates {
+			result = append(result, t)
+			continue
+		}
+		worst := 0
+		for i, o := range result {
+			if o.planned > result[worst].planned {
+				worst = i
+			}
+		}
+		if float64(t.planned) < (1-Hysteresis)*float64(result[worst].planned) {
+			result[worst] = t
+		}
+	}
+	slices.SortStableFunc(result, compareTemplates)
+	return result
+}
