--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -246,7 +246,7 @@
 				worst = i
 			}
 		}
-		if float64(t.planned) < float64(result[worst].planned) {
+		if float64(t.planned) < (1-Hysteresis)*float64(result[worst].planned) {
 			result[worst] = t
 		}
 	}
