--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -36,6 +36,12 @@
 	defer cancel()
 	e.sequences.add(s)
 	defer e.sequences.remove(s.id)
+	if refusal := e.admit(s); refusal != nil {
+		s.trace.add(0, traceRefused, refusal.Err.Message)
+		s.trace.end(refusal.Outcome)
+		e.meters.requestEnded("chat", s.team, refusal.Outcome)
+		return callerapi.ChatResult{Result: *refusal}
+	}
 	err := s.run(ctx, func(p request.Piece) error {
 		if p.Text == "" {
 			return nil // the end of an answer carries no text
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,6 +125,8 @@
 	store          *config.Store
 	canceller      *operation.Canceller
 	sync           *configsync.Syncer
+	loads          *loadBoard
+	admissions     *admissions
 	planner        *planner.Planner
 	chooser        chooser
 	sequences      *sequenceTable
@@ -149,6 +151,8 @@
 		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
 	})
 	e.directory = upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter})
+	e.loads = newLoadBoard()
+	e.admissions = newAdmissions(e.loads, e.replica)
 	e.planner = planner.New(planner.Config{Domain: options.FailureDomain}, e.directory)
 	e.chooser = plannedChooser{e.planner}
 	if options.RoundRobin {
@@ -205,6 +209,7 @@
 	g.Go(func() error { e.membership.Run(work); return nil })
 	g.Go(func() error { e.sync.Run(work); return nil })
 	g.Go(func() error { e.planLoop(work); return nil })
+	g.Go(func() error { e.admissions.Run(work, e.options.HeartbeatInterval); return nil })
 	g.Go(func() error { return ignoreCanceled(e.store.Follow(work, e.replica)) })
 
 	<-ctx.Done()
@@ -252,7 +257,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.options.DrainTimeout)
 	defer cancel()
 	_ = server.Shutdown(ctx)
-	for e.sequences.len()+int(e.openCalls.Load()) > 0 && ctx.Err() == nil {
+	for e.inFlight() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
 }
@@ -311,6 +316,7 @@
 func (e *Entry) Disconnected(c *peer.Conn, err error) {
 	logDisconnected(e.options.Log, c, err)
 	e.membership.disconnected(c)
+	e.loads.remove(upstream.InstanceID(c.Hello().ID))
 	e.sync.Disconnected(c)
 	e.sequences.lost(c)
 	e.calls.lost(c)
@@ -321,6 +327,9 @@
 	switch f := f.(type) {
 	case *peer.Heartbeat:
 		e.membership.heartbeat(c, f)
+		if h := c.Hello(); h.Role == peer.RoleSidecar {
+			e.loads.install(upstream.InstanceID(h.ID), h.Upstream, f)
+		}
 	case *peer.SequenceOpened:
 		e.sequences.deliver(c, f.Request, f)
 	case *peer.Step:
