--- /dev/null
+++ b/internal/team/admission_test.go
@@ -0,0 +1,137 @@
+package team
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// naiveLevel finds the max-min fair level by bisection.
+func naiveLevel(s LoadSnapshot, target time.Duration) float64 {
+	budget := max((target-s.Fixed).Seconds(), 0) * s.TokensPerSecond
+	low, high := 0.0, 1e6
+	for range 200 {
+		middle, sum := (low+high)/2, 0.0
+		for _, l := range s.Teams {
+			sum += min(l.Tokens, middle*l.Weight)
+		}
+		if sum < budget {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// Guards against refusing a team below its share, refusing a team while one
+// further above its share is admitted, and refusing without overload.
+func TestAdmissionOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := LoadSnapshot{TokensPerSecond: rapid.Float64Range(10, 5000).Draw(t, "rate"),
+			Fixed: time.Duration(rapid.IntRange(0, 100).Draw(t, "fixed")) * time.Millisecond}
+		total, weights := 0.0, 0.0
+		for i := range rapid.IntRange(1, 8).Draw(t, "teams") {
+			l := Load{fmt.Sprint(i), rapid.Float64Range(0.2, 5).Draw(t, "weight"), rapid.Float64Range(1, 2000).Draw(t, "tokens")}
+			s.Teams = append(s.Teams, l)
+			total, weights = total+l.Tokens, weights+l.Weight
+		}
+		d := Demand{Cost: 1, FirstToken: time.Duration(rapid.IntRange(1, 1000).Draw(t, "target")) * time.Millisecond, Remaining: 2 * time.Hour}
+		lowestRefused, highestAdmitted := math.Inf(1), 0.0
+		for _, l := range s.Teams {
+			a := NewAdmission()
+			a.Update(s)
+			d.Team = l.Team
+			wait, err := a.Admit(d)
+			var refused *RefusedError
+			over := l.Tokens / l.Weight
+			if !errors.As(err, &refused) {
+				assert.NilError(t, err)
+				if wait > d.FirstToken && l.Tokens >= total*l.Weight/weights {
+					highestAdmitted = max(highestAdmitted, (l.Tokens+1)/l.Weight)
+					assert.Assert(t, (l.Tokens+1)/l.Weight <= naiveLevel(s, d.FirstToken)*(1+1e-6))
+				}
+				continue
+			}
+			assert.Assert(t, errors.Is(err, ErrRefused) && refused.Reason == RefusedOverload)
+			assert.Assert(t, wait > d.FirstToken && refused.RetryAfter >= MinRetryAfter)
+			assert.Assert(t, l.Tokens >= total*l.Weight/weights*(1-1e-9), "below its share")
+			lowestRefused = min(lowestRefused, (l.Tokens+1)/l.Weight)
+			if total > s.TokensPerSecond*(d.FirstToken-s.Fixed).Seconds() {
+				level := naiveLevel(s, d.FirstToken)
+				assert.Assert(t, over+1/l.Weight >= level-1e-6*level, "%f under level %f", over, level)
+			}
+		}
+		assert.Assert(t, highestAdmitted <= lowestRefused)
+	})
+}
+
+// Guards against a team below its share being refused during an overload, and
+// against admitting what can't meet its deadline.
+func TestAdmissionSmallTeam(t *testing.T) {
+	a := NewAdmission()
+	a.Update(LoadSnapshot{TokensPerSecond: 1000, Fixed: 50 * time.Millisecond, Teams: []Load{{"large", 1, 10000}, {"small", 1, 300}}})
+	tests := []struct {
+		team      string
+		remaining time.Duration
+		reason    RefusalReason
+	}{
+		{"small", time.Minute, ""},
+		{"small", 100 * time.Millisecond, RefusedDeadline},
+		{"large", time.Minute, RefusedOverload},
+		{"new", time.Minute, ""},
+	}
+	for _, tt := range tests {
+		_, err := a.Admit(Demand{Team: tt.team, Cost: 100, FirstToken: 470 * time.Millisecond, Remaining: tt.remaining})
+		var refused *RefusedError
+		if errors.As(err, &refused) {
+			assert.Equal(t, refused.Reason, tt.reason)
+		} else {
+			assert.Equal(t, tt.reason, RefusalReason(""), tt.team)
+		}
+	}
+}
+
+// Guards against an entry that admits without limit between two updates.
+func TestAdmissionCountsOwnAdmissions(t *testing.T) {
+	a := NewAdmission()
+	a.Update(LoadSnapshot{TokensPerSecond: 1000})
+	admitted := 0
+	for range 100 {
+		if _, err := a.Admit(Demand{Team: "t", Cost: 100, FirstToken: time.Second, Remaining: time.Minute}); err == nil {
+			admitted++
+		}
+	}
+	assert.Equal(t, admitted, 10)
+}
+
+// Guards against more retries than the fraction of requests, and delays that
+// reach the deadline or exceed the maximum.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewRetryBudget()
+		rng := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))
+		fraction := rapid.Float64Range(0, 1).Draw(t, "fraction")
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "operations") {
+			if rapid.Bool().Draw(t, "request") {
+				b.Request("t", fraction)
+				requests++
+				continue
+			}
+			left := time.Duration(rapid.IntRange(0, 2000).Draw(t, "left")) * time.Millisecond
+			delay, err := b.Retry(epoch, epoch.Add(left), rng, "t", rapid.IntRange(1, 100).Draw(t, "attempt"))
+			if err == nil {
+				retries++
+				assert.Assert(t, delay < left && delay <= BackoffMax && delay >= BackoffBase/2)
+			}
+			assert.Assert(t, float64(retries) <= RetryReserve+fraction*float64(requests)+1e-9)
+		}
+	})
+}
