Add the client of the platform's object API

Cause: configuration, operation records and leases need to know whether a write was surely not applied or may have been. Change: internal/platform gets a client over plain net/http with bounded times and responses. A write returns ErrUnavailable only if no connection was handed to it or the platform answered 429 or 503; any other missing or inconclusive answer is ErrOutcomeUnknown. Redirects are refused because following one sends a write again. A trace of the written headers was ruled out as the mark of a sent request: a large header may be flushed before it fires.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,307 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// DefaultTimeout bounds one call. The platform answers in milliseconds; a
+	// call that takes seconds is part of an outage.
+	DefaultTimeout = 2 * time.Second
+	// DefaultWatchTimeout is the time that the platform holds a watch open.
+	DefaultWatchTimeout = 20 * time.Second
+	// DefaultMaxResponseBytes bounds a response.
+	DefaultMaxResponseBytes = 16 << 20
+	// maxErrorBytes bounds the text of an error response that is kept.
+	maxErrorBytes = 512
+	// maxIdleConnections bounds the idle connections to the platform.
+	maxIdleConnections = 8
+)
+
+var (
+	// ErrNotFound means the object doesn't exist.
+	ErrNotFound = errors.New("platform: object not found")
+	// ErrConflict means the object doesn't have the expected version, or
+	// exists although it was to be created.
+	ErrConflict = errors.New("platform: object has another version")
+	// ErrUnavailable means the platform can't be reached or is overloaded. A
+	// write that returns it was surely not applied.
+	ErrUnavailable = errors.New("platform: unavailable")
+	// ErrOutcomeUnknown means a write may have been applied: it was sent, and
+	// its answer is missing or inconclusive.
+	ErrOutcomeUnknown = errors.New("platform: outcome of the write is unknown")
+	// ErrRejected means the platform refused the request as invalid. The
+	// request was not applied, and repeating it is useless.
+	ErrRejected = errors.New("platform: request rejected")
+)
+
+// ConflictError is the ErrConflict of a failed condition.
+type ConflictError struct {
+	// Current is the stored object without its value.
+	Current Object
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%v: %s is at version %d", ErrConflict, e.Current.Key, e.Current.Version)
+}
+
+// Unwrap returns ErrConflict.
+func (e *ConflictError) Unwrap() error { return ErrConflict }
+
+// Client calls the platform's HTTP API. It is safe for concurrent use.
+type Client struct {
+	base             string
+	http             *http.Client
+	timeout          time.Duration
+	maxResponseBytes int64
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithTimeout bounds each call other than a watch. Default DefaultTimeout.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// WithMaxResponseBytes bounds each response. Default DefaultMaxResponseBytes.
+func WithMaxResponseBytes(n int64) Option { return func(c *Client) { c.maxResponseBytes = n } }
+
+// NewClient returns a client of the platform at baseURL, for example
+// "http://10.0.0.1:8080".
+func NewClient(baseURL string, options ...Option) *Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.MaxIdleConnsPerHost = maxIdleConnections
+	c := &Client{
+		base:             strings.TrimRight(baseURL, "/"),
+		http:             &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+		timeout:          DefaultTimeout,
+		maxResponseBytes: DefaultMaxResponseBytes,
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// refuseRedirect returns a redirect as the response. Following it would send a
+// write a second time.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get returns an object. It returns ErrNotFound or ErrUnavailable.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	return get[Object](ctx, c, c.timeout, objectPath(key), nil)
+}
+
+// Create writes an object that must not exist. It returns a *ConflictError if
+// it exists, ErrUnavailable if the write was surely not applied, and
+// ErrOutcomeUnknown otherwise.
+func (c *Client) Create(ctx context.Context, key string, value []byte) (Object, error) {
+	return c.write(ctx, http.MethodPut, key, "If-None-Match", "*", value)
+}
+
+// Update writes an object that must have the given version. It returns
+// ErrNotFound if it doesn't exist, and otherwise the errors of Create.
+func (c *Client) Update(ctx context.Context, key string, version uint64, value []byte) (Object, error) {
+	return c.write(ctx, http.MethodPut, key, "If-Match", etag(version), value)
+}
+
+// Delete removes an object that must have the given version. It returns the
+// errors of Update.
+func (c *Client) Delete(ctx context.Context, key string, version uint64) error {
+	_, err := c.write(ctx, http.MethodDelete, key, "If-Match", etag(version), nil)
+	return err
+}
+
+// List returns at most limit objects whose keys start with prefix and follow
+// after, in key order. An after of "" starts at the first key; a limit of 0
+// leaves the limit to the platform.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) (ListResponse, error) {
+	query := url.Values{"prefix": {prefix}}
+	if after != "" {
+		query.Set("after", after)
+	}
+	if limit > 0 {
+		query.Set("limit", strconv.Itoa(limit))
+	}
+	return get[ListResponse](ctx, c, c.timeout, PathObjects, query)
+}
+
+// Watch returns the objects whose keys start with prefix and whose version is
+// above after, in version order. It waits until there is one or timeout has
+// passed; then the list is empty. The timeout is rounded up to full seconds.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, timeout time.Duration) (ListResponse, error) {
+	seconds := int((timeout + time.Second - 1) / time.Second)
+	query := url.Values{
+		"prefix":  {prefix},
+		"after":   {strconv.FormatUint(after, 10)},
+		"timeout": {strconv.Itoa(seconds)},
+	}
+	wait := time.Duration(seconds)*time.Second + c.timeout
+	return get[ListResponse](ctx, c, wait, PathWatch, query)
+}
+
+// Instances returns the platform's list of instances. The list lags.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	r, err := get[InstancesResponse](ctx, c, c.timeout, PathInstances, nil)
+	return r.Instances, err
+}
+
+func objectPath(key string) string {
+	segments := strings.Split(key, "/")
+	for i, s := range segments {
+		segments[i] = url.PathEscape(s)
+	}
+	return PathObjects + "/" + strings.Join(segments, "/")
+}
+
+func etag(version uint64) string { return strconv.Quote(strconv.FormatUint(version, 10)) }
+
+func get[T any](ctx context.Context, c *Client, timeout time.Duration, path string, query url.Values) (T, error) {
+	var result T
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	target := c.base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return result, fmt.Errorf("%w: %w", ErrRejected, err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return result, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	if err := c.checkStatus(response); err != nil {
+		return result, err
+	}
+	if err := c.decode(response, &result); err != nil {
+		return result, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return result, nil
+}
+
+// write sends a conditional write. Once any byte of the request may have been
+// sent, an error in transport leaves the outcome unknown.
+func (c *Client) write(ctx context.Context, method, key, condition, expected string, value []byte) (Object, error) {
+	if len(value) > MaxValueBytes {
+		return Object{}, fmt.Errorf("%w: value has %d bytes, the limit is %d", ErrRejected, len(value), MaxValueBytes)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, traceSent(&sent))
+	request, err := newWrite(ctx, method, c.base+objectPath(key), value)
+	if err != nil {
+		return Object{}, fmt.Errorf("%w: %w", ErrRejected, err)
+	}
+	request.Header.Set(condition, expected)
+	response, err := c.http.Do(request)
+	if err != nil {
+		if sent.Load() {
+			return Object{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		}
+		return Object{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	return c.writeResult(response, key)
+}
+
+// traceSent sets sent before the first byte of a request can be written.
+// net/http repeats a PUT or DELETE only if it wrote nothing to the previous
+// connection, so the request is unsent again when it asks for another one.
+func traceSent(sent *atomic.Bool) *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GetConn: func(string) { sent.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+}
+
+func newWrite(ctx context.Context, method, target string, value []byte) (*http.Request, error) {
+	if method == http.MethodDelete {
+		return http.NewRequestWithContext(ctx, method, target, nil)
+	}
+	body, err := json.Marshal(PutRequest{Value: value})
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func (c *Client) writeResult(response *http.Response, key string) (Object, error) {
+	if err := c.checkStatus(response); err != nil {
+		return Object{}, err
+	}
+	o := Object{Key: key}
+	if response.StatusCode == http.StatusNoContent {
+		return o, nil
+	}
+	if err := c.decode(response, &o); err != nil {
+		return Object{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	return o, nil
+}
+
+// checkStatus converts a status that isn't a success. The platform refuses a
+// request with 429 or 503 before it applies it; any other server error of a
+// write leaves the outcome unknown.
+func (c *Client) checkStatus(response *http.Response) error {
+	status := response.StatusCode
+	switch {
+	case status >= 200 && status < 300:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusPreconditionFailed:
+		var conflict ConflictError
+		if err := c.decode(response, &conflict.Current); err != nil {
+			// The status alone proves that the condition failed.
+			return fmt.Errorf("%w: %w", ErrConflict, err)
+		}
+		return &conflict
+	}
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	detail := fmt.Sprintf("HTTP %d: %s", status, strings.TrimSpace(string(text)))
+	switch {
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: %s", ErrUnavailable, detail)
+	case status < 500 && status != http.StatusRequestTimeout:
+		return fmt.Errorf("%w: %s", ErrRejected, detail)
+	case response.Request.Method == http.MethodGet:
+		return fmt.Errorf("%w: %s", ErrUnavailable, detail)
+	}
+	return fmt.Errorf("%w: %s", ErrOutcomeUnknown, detail)
+}
+
+func (c *Client) decode(response *http.Response, result any) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, c.maxResponseBytes+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > c.maxResponseBytes {
+		return fmt.Errorf("response exceeds %d bytes", c.maxResponseBytes)
+	}
+	return json.Unmarshal(data, result)
+}
