Report an upstream that does not answer as unusable

Cause: a sidecar whose engine had died kept reporting ready, so entries chose it for every new sequence and only then replaced it. In a pool of two replicas outlier ejection may not help, because it leaves at least two thirds.

--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -150,3 +151,18 @@
 	}
 	return r, nil
 }
+
+// Probe returns ErrNotSent if no connection to the service can be made. It
+// sends nothing.
+func (c *Client) Probe(ctx context.Context) error {
+	u, err := url.Parse(c.baseURL)
+	if err != nil {
+		return eris.Wrap(ErrNotSent, err.Error())
+	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", u.Host)
+	if err != nil {
+		return eris.Wrap(ErrNotSent, err.Error())
+	}
+	return conn.Close()
+}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -16,6 +16,8 @@
 // Service is the part of the plain service's client that a sidecar uses.
 type Service interface {
 	Call(ctx context.Context, r service.Request) (service.Response, error)
+	// Probe returns an error if the service can't be reached.
+	Probe(ctx context.Context) error
 }
 
 // callID identifies one dispatch of a request.
@@ -30,6 +32,7 @@
 	claimer *operation.Claimer
 	limit   int
 	slots   chan struct{}
+	health  *healthCheck
 	log     *events.Logger
 
 	mu     sync.Mutex
@@ -40,9 +43,9 @@
 
 // newCalls returns calls with at most running calls at the service and limit
 // calls in all.
-func newCalls(s Service, claimer *operation.Claimer, running, limit int, log *events.Logger) *calls {
+func newCalls(s Service, claimer *operation.Claimer, running, limit int, health *healthCheck, log *events.Logger) *calls {
 	return &calls{
-		service: s, claimer: claimer, limit: limit, log: log,
+		service: s, claimer: claimer, limit: limit, health: health, log: log,
 		slots:  make(chan struct{}, running),
 		active: make(map[callID]context.CancelFunc),
 	}
@@ -75,6 +78,8 @@
 	switch {
 	case c.draining:
 		return peer.RefusedLeaving
+	case !c.health.usable():
+		return peer.RefusedUnavailable
 	case len(c.active) >= c.limit:
 		return peer.RefusedQueueFull
 	case c.active[id] != nil:
@@ -134,7 +139,7 @@
 
 // runPlain runs a call that may be repeated.
 func (c *calls) runPlain(ctx context.Context, call *peer.Call, result *peer.CallResult) {
-	response, err := c.service.Call(ctx, serviceRequest(call))
+	response, err := c.callService(ctx, call)
 	switch {
 	case err == nil:
 		result.Outcome = outcomeOf(response.Status)
@@ -146,6 +151,15 @@
 	}
 }
 
+// callService calls the service and asks for a probe if it did not answer.
+func (c *calls) callService(ctx context.Context, call *peer.Call) (service.Response, error) {
+	response, err := c.service.Call(ctx, serviceRequest(call))
+	if err != nil {
+		c.health.ask()
+	}
+	return response, err
+}
+
 func outcomeOf(status int) request.Outcome {
 	if status >= 400 {
 		return request.OutcomeFailed
@@ -161,7 +175,7 @@
 		return
 	}
 	done := c.claimer.Run(ctx, r, func(ctx context.Context) (operation.Response, error) {
-		response, err := c.service.Call(ctx, serviceRequest(call))
+		response, err := c.callService(ctx, call)
 		if errors.Is(err, service.ErrNotSent) {
 			return operation.Response{}, errors.Join(operation.ErrNotSent, err)
 		}
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -84,6 +84,8 @@
 	limits   schedulerLimits
 	finished func(*work, []engine.StepResult)
 	failed   func(*work, peer.FailureReason, string)
+	// engineFailed is called after a call that the engine did not answer.
+	engineFailed func()
 
 	desc atomic.Pointer[upstream.Descriptor]
 
@@ -241,7 +243,11 @@
 	bctx, cancel := context.WithTimeout(ctx, batchTimeout)
 	response, err := s.engine.Batch(bctx, engine.BatchRequest{Steps: steps})
 	cancel()
-	s.observeStep(time.Since(start))
+	if err != nil {
+		s.engineFailed()
+	} else {
+		s.observeStep(time.Since(start))
+	}
 	next := 0
 	for _, w := range batch {
 		if err != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -256,35 +256,51 @@
 		Model: info.Model, ModelLayers: info.ModelLayers, Layers: info.Layers,
 		Accelerator: info.Accelerator, MaxBatch: maxBatch, Version: info.Version,
 	}, schedulerLimits{batch: maxBatch, items: s.options.MaxQueue, tokens: s.options.MaxQueueTokens})
+	health := newHealthCheck(func(ctx context.Context) error {
+		_, err := s.options.Engine.Info(ctx)
+		return err
+	}, s.announce)
+	scheduler.engineFailed = health.ask
 	stage := newStage(s.node, scheduler, s.options.OutputLogBytes, time.Now)
-	return &engineWorker{scheduler: scheduler, stage: stage}
+	stage.usable = health.usable
+	return &engineWorker{scheduler: scheduler, stage: stage, health: health}
 }
 
 func (s *Sidecar) newServiceWorker() *serviceWorker {
+	health := newHealthCheck(s.options.Service.Probe, s.announce)
 	return &serviceWorker{
+		health: health,
 		desc: upstream.Descriptor{
 			Kind: upstream.KindService, Group: s.options.Group,
 			Service: s.options.ServiceName, MaxBatch: s.options.MaxBatch,
 		},
-		calls: newCalls(s.options.Service, s.options.Claimer, s.options.MaxBatch, s.options.MaxQueue, s.options.Log),
+		calls: newCalls(s.options.Service, s.options.Claimer, s.options.MaxBatch, s.options.MaxQueue, health, s.options.Log),
 	}
 }
 
 func (s *Sidecar) state() upstream.State {
-	if s.leaving.Load() {
+	switch {
+	case s.leaving.Load():
 		return upstream.StateLeaving
+	case !s.worker.usable():
+		return upstream.StateJoining
 	}
 	return upstream.StateReady
 }
 
+// announce tells the entries the current state at once.
+func (s *Sidecar) announce() {
+	s.node.UpdateHello(func(h *peer.Hello) { h.State = s.state() })
+	s.node.Broadcast(s.heartbeat(), peer.RoleEntry)
+}
+
 // startLeaving refuses new work from now on and announces it.
 func (s *Sidecar) startLeaving() {
 	if s.leaving.Swap(true) {
 		return
 	}
 	s.worker.drain()
-	s.node.UpdateHello(func(h *peer.Hello) { h.State = upstream.StateLeaving })
-	s.node.Broadcast(s.heartbeat(), peer.RoleEntry)
+	s.announce()
 }
 
 // waitIdle waits until no work is in progress, up to the drain timeout.
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -45,6 +45,8 @@
 	scheduler *scheduler
 	logBytes  int
 	now       func() time.Time
+	// usable reports whether the engine answers.
+	usable func() bool
 
 	mu        sync.Mutex
 	sequences map[request.ID]*sequence
@@ -117,6 +119,9 @@
 		if s.draining {
 			return nil, peer.RefusedLeaving
 		}
+		if !s.usable() {
+			return nil, peer.RefusedUnavailable
+		}
 		if reason := s.scheduler.admit(open); reason != "" {
 			return nil, reason
 		}
--- a/internal/sidecar/worker.go
+++ b/internal/sidecar/worker.go
@@ -22,6 +22,8 @@
 	drain()
 	// idle reports whether no work is in progress.
 	idle() bool
+	// usable reports whether the upstream answers.
+	usable() bool
 	// setWeight sets the share of a team.
 	setWeight(team string, weight float64)
 	// load reports the load of the upstream and of each team.
@@ -32,12 +34,14 @@
 type engineWorker struct {
 	scheduler *scheduler
 	stage     *Stage
+	health    *healthCheck
 }
 
 func (w *engineWorker) descriptor() upstream.Descriptor { return w.scheduler.descriptor() }
 
 func (w *engineWorker) run(ctx context.Context) {
 	go w.sweepLoop(ctx)
+	go w.health.Run(ctx)
 	w.scheduler.Run(ctx)
 }
 
@@ -72,6 +76,8 @@
 
 func (w *engineWorker) disconnected(c *peer.Conn) { w.stage.Disconnected(c, c.DialedAddress()) }
 
+func (w *engineWorker) usable() bool { return w.health.usable() }
+
 func (w *engineWorker) setWeight(team string, weight float64) { w.scheduler.setWeight(team, weight) }
 
 func (w *engineWorker) drain() { w.stage.Drain() }
@@ -86,14 +92,16 @@
 
 // serviceWorker serves a plain service.
 type serviceWorker struct {
-	desc  upstream.Descriptor
-	calls *calls
+	desc   upstream.Descriptor
+	calls  *calls
+	health *healthCheck
 }
 
 func (w *serviceWorker) descriptor() upstream.Descriptor { return w.desc }
 
-// run waits until the outcomes of all claims are recorded.
-func (w *serviceWorker) run(ctx context.Context) { <-ctx.Done() }
+func (w *serviceWorker) run(ctx context.Context) { w.health.Run(ctx) }
+
+func (w *serviceWorker) usable() bool { return w.health.usable() }
 
 func (w *serviceWorker) handle(c *peer.Conn, f peer.Frame) bool {
 	switch f := f.(type) {
