--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,102 @@
+// Package lease holds the lease of a group of upstreams in the platform's
+// store. Every write of the lease object changes its version, which is the
+// fencing number of the orders that follow.
+//
+// Time only decides when a process tries to take over and when a holder stops
+// by itself. The order between two holders is decided by the fencing number:
+// a conditional write gives each number to one process, and sidecars reject a
+// lower number than one they have seen.
+package lease
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// KeyPrefix is the store prefix of all leases.
+	KeyPrefix = "leases/"
+	// maxValueBytes bounds an encoded lease, in bytes.
+	maxValueBytes = 4 << 10
+	// maxDuration bounds the duration in a stored lease, so that a wrong value
+	// can't block a group for good.
+	maxDuration = time.Hour
+)
+
+var (
+	// ErrNotFound means there is no object with the key.
+	ErrNotFound = errors.New("lease: object not found")
+	// ErrConflict means the condition of a write didn't hold; the write was
+	// not applied.
+	ErrConflict = errors.New("lease: version conflict")
+	// ErrUnavailable means the store can't be reached; a write was surely not
+	// applied.
+	ErrUnavailable = errors.New("lease: store is unavailable")
+	// ErrOutcomeUnknown means a write may have been or may yet be applied.
+	ErrOutcomeUnknown = errors.New("lease: outcome of the write is unknown")
+	// ErrNotHeld means the process holds no valid lease.
+	ErrNotHeld = errors.New("lease: not held")
+	// ErrHeld means another process holds the lease.
+	ErrHeld = errors.New("lease: held by another process")
+	// errInvalid means the stored value is not a lease.
+	errInvalid = errors.New("lease: invalid value")
+)
+
+// Store holds leases. Versions are greater than 0 and grow with every write of
+// an object. Implementations end a call when ctx ends. Any error of a write
+// other than ErrConflict, ErrNotFound and ErrUnavailable counts as
+// ErrOutcomeUnknown.
+type Store interface {
+	// Get returns ErrNotFound if there is no object.
+	Get(ctx context.Context, key string) (value []byte, version uint64, err error)
+	// Create returns ErrConflict if the object exists.
+	Create(ctx context.Context, key string, value []byte) (version uint64, err error)
+	// Update returns ErrConflict unless the object has the version.
+	Update(ctx context.Context, key string, value []byte, version uint64) (newVersion uint64, err error)
+}
+
+// record is the stored value. A released lease has no token.
+type record struct {
+	// Owner is the holder's instance id, for operators.
+	Owner string `json:"owner,omitempty"`
+	// Token is random for each Holder, so a Holder recognises its own writes.
+	Token string `json:"token,omitempty"`
+	// DurationMillis is how long the lease lasts after a write, in ms.
+	DurationMillis int64 `json:"duration_ms"`
+}
+
+func (r record) duration() time.Duration { return time.Duration(r.DurationMillis) * time.Millisecond }
+
+func decode(value []byte) (record, error) {
+	var r record
+	d := json.NewDecoder(bytes.NewReader(value))
+	d.DisallowUnknownFields()
+	if len(value) > maxValueBytes || d.Decode(&r) != nil || d.More() ||
+		r.DurationMillis <= 0 || r.DurationMillis > maxDuration.Milliseconds() {
+		return record{}, errInvalid
+	}
+	return r, nil
+}
+
+// Path returns the store key of the lease of group.
+func Path(group string) string { return KeyPrefix + url.PathEscape(group) }
+
+// CurrentFencing returns the current fencing number of group, or 0 if its lease
+// was never taken. A sidecar that has just started needs it before it accepts
+// an order; an error means that it must not accept one yet.
+func CurrentFencing(ctx context.Context, store Store, group string) (uint64, error) {
+	_, version, err := store.Get(ctx, Path(group))
+	if errors.Is(err, ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, eris.Wrap(err, "lease: read fencing number")
+	}
+	return version, nil
+}
