Order engines to load the version their placement names

Cause: placements had no effect, and a lease could be held by two processes. TestTwoHolders failed about once in 20 full runs: after Release, a Holder that read its own old version counted the lease from a newer write that was lost. Change: one entry at a time orders the upstreams of a group, one by one, under the group's lease, and only those the model can spare. The sidecar refuses new sequences, waits for open ones and compares the fencing number with the store before each order, so that a late order of an earlier holder is refused even before its successor has sent one; keeping only the highest number seen was ruled out for that reason. A Holder no longer holds a version again that it has held or tried to release. The lease rules that stood in two packages stand in one, and one adapter serves records and leases.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -8,7 +8,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/entry"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
-	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
+	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
 	"github.com/nutmegroute/nutmegroute/internal/service"
 	"github.com/nutmegroute/nutmegroute/internal/settings"
 	"github.com/nutmegroute/nutmegroute/internal/sidecar"
@@ -64,7 +64,7 @@
 		MaxQueueTokens:    s.MaxQueueTokens,
 		OutputLogBytes:    s.OutputLogBytes,
 		DrainTimeout:      s.DrainTimeout,
-		Records:           recordstore.New(client),
+		Leases:            objectstore.NewLeases(client),
 		Log:               env.Log,
 		Metrics:           env.Metrics,
 	}
@@ -74,7 +74,7 @@
 	case upstream.KindService:
 		options.Service = service.NewClient(s.Upstream.Address, nil)
 		options.ServiceName = s.Upstream.Service
-		options.Claimer = operation.NewClaimer(options.Records, operation.Options{})
+		options.Claimer = operation.NewClaimer(objectstore.NewRecords(client), operation.Options{})
 	default:
 		return nil, fmt.Errorf("%w: %q", errUpstreamKind, s.Upstream.Kind)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,7 +24,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
-	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
+	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -124,6 +124,7 @@
 	replica        *config.Replica
 	store          *config.Store
 	canceller      *operation.Canceller
+	orderer        *orderer
 	sync           *configsync.Syncer
 	loads          *loadBoard
 	admissions     *admissions
@@ -159,7 +160,8 @@
 		e.chooser = &roundRobin{directory: e.directory}
 	}
 	e.store = config.NewStore(options.Platform, config.StoreOptions{})
-	e.canceller = operation.NewCanceller(recordstore.New(options.Platform), operation.Options{})
+	e.canceller = operation.NewCanceller(objectstore.NewRecords(options.Platform), operation.Options{})
+	e.orderer = newOrderer(e, objectstore.NewLeases(options.Platform))
 	e.sync = configsync.New(e.node, e.replica, func(err error) {
 		options.Log.Log(events.RevisionBehind).Err(err).Send()
 	})
@@ -209,6 +211,7 @@
 	g.Go(func() error { e.membership.Run(work); return nil })
 	g.Go(func() error { e.sync.Run(work); return nil })
 	g.Go(func() error { e.planLoop(work); return nil })
+	g.Go(func() error { e.orderer.Run(work); return nil })
 	g.Go(func() error { e.admissions.Run(work, e.options.HeartbeatInterval); return nil })
 	g.Go(func() error { return ignoreCanceled(e.store.Follow(work, e.replica)) })
 
@@ -327,8 +330,8 @@
 	switch f := f.(type) {
 	case *peer.Heartbeat:
 		e.membership.heartbeat(c, f)
-		if h := c.Hello(); h.Role == peer.RoleSidecar {
-			e.loads.install(upstream.InstanceID(h.ID), h.Upstream, f)
+		if u, ok := e.directory.Get(upstream.InstanceID(c.Hello().ID)); ok {
+			e.loads.install(u.ID, u.Descriptor, f)
 		}
 	case *peer.SequenceOpened:
 		e.sequences.deliver(c, f.Request, f)
@@ -338,6 +341,8 @@
 		e.sequences.deliver(c, f.Request, f)
 	case *peer.SequenceFailed:
 		e.sequences.deliver(c, f.Request, f)
+	case *peer.OrderResult:
+		e.orderer.deliver(f)
 	case *peer.CallResult:
 		e.calls.deliver(f)
 	default:
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -45,6 +45,11 @@
 	seenAt time.Time
 	// unresolved is the start of the oldest write whose outcome is unknown.
 	unresolved time.Time
+	// spent is the highest version that this Holder has held or tried to
+	// release. A read of that version says nothing about when it was written,
+	// and a late release may still replace it, so the lease is not held under
+	// it again.
+	spent uint64
 }
 
 // NewHolder returns a Holder of group for the instance owner.
@@ -134,6 +139,9 @@
 	if err != nil {
 		return err
 	}
+	h.mu.Lock()
+	h.spent = max(h.spent, version)
+	h.mu.Unlock()
 	_, err = h.write(ctx, value, version)
 	return err
 }
@@ -182,6 +190,7 @@
 	switch {
 	case err == nil:
 		h.fencing, h.validUntil, h.unresolved = written, sent.Add(h.opts.Duration), time.Time{}
+		h.spent = written
 	case errors.Is(err, ErrConflict), errors.Is(err, ErrNotFound), errors.Is(err, ErrUnavailable):
 		// Not applied.
 	case h.unresolved.IsZero():
@@ -195,9 +204,9 @@
 func (h *Holder) confirm(version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if version != h.fencing {
+	if version > h.spent {
 		h.fencing, h.validUntil = version, h.unresolved.Add(h.opts.Duration)
-		h.unresolved = time.Time{}
+		h.unresolved, h.spent = time.Time{}, version
 	}
 }
 
--- a/internal/lease/holder_test.go
+++ b/internal/lease/holder_test.go
@@ -237,3 +237,47 @@
 		assert.Equal(t, rec.Token, "")
 	})
 }
+
+// Guards against a lease that is held again on the strength of a read after it
+// was given up: the read version is older than the latest unresolved write, so
+// the lease would count from too late a time. Found by TestTwoHolders.
+func TestSpentVersionIsNotHeldAgain(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	fail := []error{}
+	fate := 0
+	store := &fakeStore{fate: func() int { return fate }}
+	store.interrupt = func() error {
+		if len(fail) == 0 {
+			return nil
+		}
+		err := fail[0]
+		fail = fail[1:]
+		return err
+	}
+	h, err := NewHolder(store, "group", "", Options{Token: "a", Now: func() time.Time { return now }})
+	assert.NilError(t, err)
+	step := func(wantErr error, errs ...error) {
+		t.Helper()
+		fail = errs
+		err := h.Step(t.Context())
+		if wantErr != nil {
+			assert.ErrorIs(t, err, wantErr)
+		}
+	}
+	step(ErrOutcomeUnknown, nil, nil, ErrOutcomeUnknown) // applied, answer lost
+	step(ErrUnavailable, nil, nil, ErrUnavailable)       // confirms version 1
+	_, err = h.Check(now)
+	assert.NilError(t, err)
+	giveUp := func() {
+		fail = []error{ErrUnavailable}
+		assert.ErrorIs(t, h.Release(t.Context()), ErrUnavailable)
+	}
+	giveUp()
+	now = now.Add(6 * time.Second)
+	fate = 2 // the write is lost
+	step(ErrOutcomeUnknown, nil, nil, ErrOutcomeUnknown)
+	giveUp()
+	step(ErrUnavailable, nil, nil, ErrUnavailable)
+	_, err = h.Check(now)
+	assert.ErrorIs(t, err, ErrNotHeld)
+}
--- /dev/null
+++ b/internal/sidecar/orders.go
@@ -0,0 +1,135 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/engine"
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/lease"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+)
+
+const (
+	// orderTimeout bounds the reading of the fencing number and the engine's
+	// answer to an order.
+	orderTimeout = 5 * time.Second
+	// orderDrainTimeout bounds the wait for open sequences before an order.
+	orderDrainTimeout = time.Minute
+)
+
+// errBusy is returned for an order that found sequences still open after
+// orderDrainTimeout.
+var errBusy = errors.New("sidecar: open sequences did not end in time for the order")
+
+// orders gives orders to the engine, one at a time.
+type orders struct {
+	engine Engine
+	leases lease.Store
+	group  string
+	stage  *Stage
+	health *healthCheck
+	log    *events.Logger
+	// done is called after an order has changed the engine.
+	done func(engine.Info)
+
+	turn  sync.Mutex
+	guard lease.FencingGuard
+}
+
+// Handle carries out an order in the background and answers on c.
+func (o *orders) Handle(c *peer.Conn, f *peer.Order) {
+	go func() {
+		err := o.run(f)
+		result := &peer.OrderResult{Number: f.Number, Stale: errors.Is(err, lease.ErrFencingStale)}
+		if err != nil {
+			result.Error = err.Error()
+		}
+		o.report(f, err)
+		_ = c.Send(result)
+	}()
+}
+
+func (o *orders) report(f *peer.Order, err error) {
+	event := events.OrderAccepted
+	switch {
+	case errors.Is(err, lease.ErrFencingStale):
+		event = events.OrderFenced
+	case err != nil:
+		event = events.OrderFailed
+	}
+	o.log.Log(event).Str("group", f.Group).Uint64("fencing", f.Fencing).Str("version", f.Version).Err(err).Send()
+}
+
+// run stops new sequences, waits for the open ones and gives the order. The
+// fencing number is checked directly before the engine is called: while the
+// sequences end, another process may have taken the lease.
+func (o *orders) run(f *peer.Order) error {
+	o.turn.Lock()
+	defer o.turn.Unlock()
+	if f.Group != o.group {
+		return fmt.Errorf("sidecar: order for group %q reached group %q", f.Group, o.group)
+	}
+	if err := o.admit(f.Fencing); err != nil {
+		return err
+	}
+	o.stage.Pause(true)
+	defer o.stage.Pause(false)
+	if err := o.waitIdle(); err != nil {
+		return err
+	}
+	if err := o.admit(f.Fencing); err != nil {
+		return err
+	}
+	return o.give(f)
+}
+
+// admit compares an order's fencing number with the one in the store. Without
+// an answer from the store no order is taken.
+func (o *orders) admit(fencing uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	current, err := lease.CurrentFencing(ctx, o.leases, o.group)
+	if err != nil {
+		return fmt.Errorf("%w: %w", lease.ErrFencingUnknown, err)
+	}
+	o.guard.Learn(current)
+	return o.guard.Admit(fencing)
+}
+
+func (o *orders) waitIdle() error {
+	deadline := time.Now().Add(orderDrainTimeout)
+	for o.stage.Len() > 0 {
+		if time.Now().After(deadline) {
+			return errBusy
+		}
+		time.Sleep(drainPoll)
+	}
+	return nil
+}
+
+func (o *orders) give(f *peer.Order) error {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	order := engine.Order{Fencing: f.Fencing, Kind: engine.OrderKind(f.Kind), Version: f.Version}
+	if f.Layers != (pipeline.LayerRange{}) {
+		order.Layers = &f.Layers
+	}
+	if err := o.engine.Order(ctx, order); err != nil {
+		if errors.Is(err, engine.ErrStaleFencing) {
+			return fmt.Errorf("%w: %w", lease.ErrFencingStale, err)
+		}
+		return err
+	}
+	info, err := o.engine.Info(ctx)
+	if err != nil {
+		o.health.ask()
+		return err
+	}
+	o.done(info)
+	return nil
+}
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -119,6 +119,8 @@
 
 func (s *scheduler) descriptor() upstream.Descriptor { return *s.desc.Load() }
 
+func (s *scheduler) setDescriptor(d upstream.Descriptor) { s.desc.Store(&d) }
+
 // setWeight sets the share of a team.
 func (s *scheduler) setWeight(name string, weight float64) {
 	s.mu.Lock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,9 +18,9 @@
 	"github.com/nutmegroute/nutmegroute/internal/configsync"
 	"github.com/nutmegroute/nutmegroute/internal/engine"
 	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/lease"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
-	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
@@ -81,8 +81,9 @@
 	Service     Service
 	ServiceName string
 	Claimer     *operation.Claimer
-	// Records is the platform's store; the sidecar reads fencing numbers there.
-	Records *recordstore.Store
+	// Leases is the platform's store of leases; the sidecar of an engine reads
+	// fencing numbers there.
+	Leases lease.Store
 	// Log receives events. Default none.
 	Log *events.Logger
 	// Metrics serves the metrics page. Default none.
@@ -251,11 +252,8 @@
 	if info.MaxBatch > 0 {
 		maxBatch = min(maxBatch, info.MaxBatch)
 	}
-	scheduler := newScheduler(s.options.Engine, upstream.Descriptor{
-		Kind: upstream.KindEngine, Group: s.options.Group,
-		Model: info.Model, ModelLayers: info.ModelLayers, Layers: info.Layers,
-		Accelerator: info.Accelerator, MaxBatch: maxBatch, Version: info.Version,
-	}, schedulerLimits{batch: maxBatch, items: s.options.MaxQueue, tokens: s.options.MaxQueueTokens})
+	limits := schedulerLimits{batch: maxBatch, items: s.options.MaxQueue, tokens: s.options.MaxQueueTokens}
+	scheduler := newScheduler(s.options.Engine, s.describe(info, maxBatch), limits)
 	health := newHealthCheck(func(ctx context.Context) error {
 		_, err := s.options.Engine.Info(ctx)
 		return err
@@ -263,7 +261,26 @@
 	scheduler.engineFailed = health.ask
 	stage := newStage(s.node, scheduler, s.options.OutputLogBytes, time.Now)
 	stage.usable = health.usable
-	return &engineWorker{scheduler: scheduler, stage: stage, health: health}
+	w := &engineWorker{scheduler: scheduler, stage: stage, health: health}
+	w.orders = &orders{
+		engine: s.options.Engine, leases: s.options.Leases, group: s.options.Group,
+		stage: stage, health: health, log: s.options.Log,
+		done: func(info engine.Info) {
+			scheduler.setDescriptor(s.describe(info, maxBatch))
+			s.announce()
+		},
+	}
+	return w
+}
+
+// describe turns what an engine says of itself into the descriptor that
+// entries get.
+func (s *Sidecar) describe(info engine.Info, maxBatch int) upstream.Descriptor {
+	return upstream.Descriptor{
+		Kind: upstream.KindEngine, Group: s.options.Group,
+		Model: info.Model, ModelLayers: info.ModelLayers, Layers: info.Layers,
+		Accelerator: info.Accelerator, MaxBatch: maxBatch, Version: info.Version,
+	}
 }
 
 func (s *Sidecar) newServiceWorker() *serviceWorker {
@@ -290,8 +307,11 @@
 
 // announce tells the entries the current state at once.
 func (s *Sidecar) announce() {
-	s.node.UpdateHello(func(h *peer.Hello) { h.State = s.state() })
-	s.node.Broadcast(s.heartbeat(), peer.RoleEntry)
+	desc := s.worker.descriptor()
+	s.node.UpdateHello(func(h *peer.Hello) { h.State, h.Upstream = s.state(), desc })
+	heartbeat := s.heartbeat()
+	heartbeat.Upstream = &desc
+	s.node.Broadcast(heartbeat, peer.RoleEntry)
 }
 
 // startLeaving refuses new work from now on and announces it.
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -53,6 +53,8 @@
 	closed    map[request.ID]closedSequence
 	// draining refuses sequences that the stage does not hold yet.
 	draining bool
+	// paused refuses them for the time of an order to the engine.
+	paused bool
 }
 
 // closedSequence remembers a sequence that ended.
@@ -119,7 +121,7 @@
 		if s.draining {
 			return nil, peer.RefusedLeaving
 		}
-		if !s.usable() {
+		if s.paused || !s.usable() {
 			return nil, peer.RefusedUnavailable
 		}
 		if reason := s.scheduler.admit(open); reason != "" {
@@ -352,6 +354,14 @@
 	s.draining = true
 }
 
+// Pause refuses sequences that the stage does not hold yet while an order to
+// the engine is under way.
+func (s *Stage) Pause(paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = paused
+}
+
 // Sweep removes orphans, sequences past their deadline, and old memories of
 // closed sequences.
 func (s *Stage) Sweep() {
--- a/internal/sidecar/worker.go
+++ b/internal/sidecar/worker.go
@@ -35,6 +35,7 @@
 	scheduler *scheduler
 	stage     *Stage
 	health    *healthCheck
+	orders    *orders
 }
 
 func (w *engineWorker) descriptor() upstream.Descriptor { return w.scheduler.descriptor() }
@@ -68,6 +69,8 @@
 		w.stage.Step(f)
 	case *peer.CloseSequence:
 		w.stage.Close(f)
+	case *peer.Order:
+		w.orders.Handle(c, f)
 	default:
 		return false
 	}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -17,7 +17,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/pipeline"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
-	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
+	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
 	"github.com/nutmegroute/nutmegroute/internal/service"
 	"github.com/nutmegroute/nutmegroute/internal/sidecar"
 	standinengine "github.com/nutmegroute/nutmegroute/internal/standin/engine"
@@ -175,6 +175,7 @@
 	options.ID = fmt.Sprintf("%s-stage%d-%d", config.Model, stage, replica)
 	options.FailureDomain = d.domain(stage + replica)
 	options.Engine = engine.NewClient(url, nil)
+	options.Leases = objectstore.NewLeases(d.Client)
 	options.Group = fmt.Sprintf("%s-stage%d", config.Model, stage)
 	s, p, err := d.startSidecar(options)
 	if err != nil {
@@ -197,7 +198,7 @@
 		options.FailureDomain = d.domain(replica)
 		options.Service = service.NewClient(url, nil)
 		options.ServiceName = o.Name
-		options.Claimer = operation.NewClaimer(recordstore.New(d.Client), operation.Options{})
+		options.Claimer = operation.NewClaimer(objectstore.NewRecords(d.Client), operation.Options{})
 		if _, _, err := d.startSidecar(options); err != nil {
 			return err
 		}
--- a/internal/standin/deployment/deployment_test.go
+++ b/internal/standin/deployment/deployment_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
+	"github.com/nutmegroute/nutmegroute/internal/config"
 	"github.com/nutmegroute/nutmegroute/internal/dev"
 	"github.com/nutmegroute/nutmegroute/internal/standin/deployment"
 	standinengine "github.com/nutmegroute/nutmegroute/internal/standin/engine"
@@ -127,3 +129,54 @@
 		}
 	}
 }
+
+func apply(ctx context.Context, t *testing.T, d *deployment.Deployment, kind config.Kind, name string, value any) {
+	t.Helper()
+	data, err := json.Marshal(value)
+	assert.NilError(t, err)
+	assert.NilError(t, d.Apply(ctx, config.Proposal{
+		ID: uuid.NewString(), Author: "test", Kind: kind, Name: name, Value: data,
+	}))
+}
+
+// Guards against a change of version that interrupts answers, mixes versions
+// in one chain, or leaves an upstream behind.
+func TestVersionChangeUnderLoad(t *testing.T) {
+	d := start(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 8 {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				prompt := fmt.Sprintf("caller %d request %d [[tokens=20]]", i, n)
+				a, err := stream(ctx, d.Entries[i%2].CallerAddress(), prompt, func(int) {})
+				assert.Check(t, err)
+				assert.Check(t, a.outcome == "completed" && a.text == reference(prompt), "%+v", a)
+			}
+		})
+	}
+	for stage := range 3 {
+		group := fmt.Sprintf("nutmeg-30-stage%d", stage)
+		apply(ctx, t, d, config.KindPlacement, group, config.Placement{Name: group, Version: "2"})
+	}
+	for _, e := range d.Engines {
+		for e.Info().Version != "2" {
+			assert.NilError(t, ctx.Err())
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	close(stop)
+	wg.Wait()
+	for _, e := range d.Engines {
+		orders := e.Orders()
+		assert.Equal(t, len(orders), 1)
+		assert.Assert(t, orders[0].Fencing > 0)
+	}
+}
--- a/internal/upstream/directory_test.go
+++ b/internal/upstream/directory_test.go
@@ -244,37 +244,3 @@
 		assert.Assert(t, slices.Equal(readmitted, []InstanceID{"c"}))
 	}
 }
-
-// Guards against two holders that both pass their check, and against orders
-// with an outdated number or before the current number is known.
-func TestLeaseAndFencing(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		r := LeaseRecord{Holder: "a", DurationMillis: int64(rapid.IntRange(1500, 20000).Draw(t, "duration"))}
-		roundTrip := time.Duration(rapid.IntRange(0, 5000).Draw(t, "round trip")) * time.Millisecond
-		written := epoch.Add(time.Duration(rapid.Int64Range(0, int64(roundTrip)).Draw(t, "written")))
-		l := NewLease(r, 7, epoch)
-		var w LeaseWatch
-		w.Observe(written, r, 7)
-		w.Observe(written.Add(time.Second), r, 7)
-		at := epoch.Add(time.Duration(rapid.IntRange(0, 30000).Draw(t, "at")) * time.Millisecond)
-		_, err := l.Check(at)
-		version, expired := w.Expired(at)
-		assert.Equal(t, version, uint64(7))
-		assert.Assert(t, err != nil || !expired)
-		assert.Equal(t, err == nil, at.Sub(epoch) < r.Duration()-LeaseMargin)
-
-		var g FencingGuard
-		assert.ErrorIs(t, g.Admit(math.MaxUint64), ErrFencingUnknown)
-		highest := rapid.Uint64Range(0, 9).Draw(t, "current")
-		g.Learn(highest)
-		for range 20 {
-			n := rapid.Uint64Range(0, 9).Draw(t, "number")
-			if err := g.Admit(n); n < highest {
-				assert.ErrorIs(t, err, ErrFencingStale)
-			} else {
-				assert.NilError(t, err)
-				highest = n
-			}
-		}
-	})
-}
