Add the configuration store

Cause: entries must accept changes through the platform's store although it loses answers and has outages, and every replica must follow.

limit drops to 48 KiB so that a page of 96 changes fits in the client's response limit.

--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -18,9 +18,9 @@
 // Limits of a change.
 const (
 	// MaxObjectBytes is the largest value of a configuration object. A change
-	// holds the values before and after, which together with their Base64
-	// encoding must fit in one platform object of 1 MB.
-	MaxObjectBytes = 256 << 10
+	// holds the values before and after; 96 changes in Base64 then fit in the
+	// platform client's response limit of 16 MiB.
+	MaxObjectBytes = 48 << 10
 	// MaxIDBytes is the longest change id or author, in bytes.
 	MaxIDBytes = 128
 )
--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,375 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/platform"
+)
+
+// Keys of the configuration in the platform's store. Revisions have 12 digits
+// so that the key order is the revision order.
+const (
+	changePrefix   = "config/changes/"
+	snapshotPrefix = "config/snapshots/"
+)
+
+const (
+	// SnapshotInterval is the number of changes between two snapshots.
+	SnapshotInterval = 512
+	// keptSnapshots are left when a new one is written: the newest, and one in
+	// case it can't be decoded.
+	keptSnapshots = 2
+	// snapshotPage and changePage keep a list within the platform client's
+	// response limit of 16 MiB with the largest values.
+	snapshotPage = 8
+	changePage   = 96
+	// AcceptTimeout bounds Accept.
+	AcceptTimeout = 10 * time.Second
+	// MaxHistory bounds the result of History and Audit.
+	MaxHistory = 1000
+	// minBackoff and maxBackoff bound the wait after a failed call. The upper
+	// bound leaves time to install a change within 4 s after an outage.
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = 2 * time.Second
+	// resolveAttempts bounds the reads that look for a change whose write lost
+	// its answer.
+	resolveAttempts = 5
+)
+
+var (
+	// ErrUnavailable means the store can't be reached and the change was
+	// surely not applied by this call.
+	ErrUnavailable = errors.New("config: store unavailable")
+	// ErrUnknownOutcome means that the change may have been accepted.
+	ErrUnknownOutcome = errors.New("config: outcome of the change is unknown")
+	// ErrSnapshotTooLarge means the snapshot doesn't fit in a platform object.
+	ErrSnapshotTooLarge = errors.New("config: snapshot too large for the store")
+)
+
+// UnknownOutcomeError is an ErrUnknownOutcome with the change's id. Repeating
+// the change with the same id is safe.
+type UnknownOutcomeError struct {
+	ChangeID string
+	Cause    error
+}
+
+// Error implements error.
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("%v: change %s: %v", ErrUnknownOutcome, e.ChangeID, e.Cause)
+}
+
+// Unwrap returns ErrUnknownOutcome and the cause.
+func (e *UnknownOutcomeError) Unwrap() []error { return []error{ErrUnknownOutcome, e.Cause} }
+
+// Objects is the part of the platform's object API that Store uses.
+// *platform.Client implements it.
+type Objects interface {
+	Get(ctx context.Context, key string) (platform.Object, error)
+	Create(ctx context.Context, key string, value []byte) (platform.Object, error)
+	Delete(ctx context.Context, key string, version uint64) error
+	List(ctx context.Context, prefix, after string, limit int) (platform.ListResponse, error)
+	Watch(ctx context.Context, prefix string, after uint64, timeout time.Duration) (platform.ListResponse, error)
+}
+
+// Store is the configuration service of an entry: it writes changes to the
+// platform's store and feeds the replica from it. It is safe for concurrent
+// use.
+type Store struct {
+	objects     Objects
+	replica     *Replica
+	now         func() time.Time
+	report      func(error)
+	snapshotDue chan struct{}
+}
+
+// NewStore returns a store that feeds replica. now is the clock for the audit
+// trail. report receives the errors of Follow's background work; nil drops
+// them.
+func NewStore(objects Objects, replica *Replica, now func() time.Time, report func(error)) *Store {
+	if report == nil {
+		report = func(error) {}
+	}
+	return &Store{objects: objects, replica: replica, now: now, report: report, snapshotDue: make(chan struct{}, 1)}
+}
+
+// Replica returns the replica that the store feeds.
+func (s *Store) Replica() *Replica { return s.replica }
+
+// State returns the current configuration.
+func (s *Store) State() *State { return s.replica.State() }
+
+func changeKey(r Revision) string   { return fmt.Sprintf("%s%012d", changePrefix, r) }
+func snapshotKey(r Revision) string { return fmt.Sprintf("%s%012d", snapshotPrefix, r) }
+
+// storeError converts an error of the platform client.
+func storeError(err error) error {
+	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown) {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if errors.Is(err, platform.ErrNotFound) {
+		return ErrNotFound
+	}
+	return fmt.Errorf("config: store: %w", err)
+}
+
+// backoff returns a jittered wait that doubles with each attempt.
+func backoff(attempt int) time.Duration {
+	limit := min(minBackoff<<min(attempt, 10), maxBackoff)
+	return limit/2 + rand.N(limit/2)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// readChange returns the change at a revision, from the replica if it keeps
+// it. It returns ErrNotFound, ErrUnavailable or ErrDecode.
+func (s *Store) readChange(ctx context.Context, r Revision) (Change, error) {
+	if c, ok := s.replica.Change(r); ok {
+		return c, nil
+	}
+	o, err := s.objects.Get(ctx, changeKey(r))
+	if err != nil {
+		return Change{}, storeError(err)
+	}
+	return decodeStored(o)
+}
+
+func decodeStored(o platform.Object) (Change, error) {
+	var c Change
+	if err := json.Unmarshal(o.Value, &c); err != nil {
+		return Change{}, fmt.Errorf("%w: %s: %w", ErrDecode, o.Key, err)
+	}
+	if err := c.check(); err != nil {
+		return Change{}, err
+	}
+	if changeKey(c.Revision) != o.Key {
+		return Change{}, fmt.Errorf("%w: %s holds revision %d", ErrDecode, o.Key, c.Revision)
+	}
+	return c, nil
+}
+
+// catchUp applies the stored changes that follow the replica. It returns a
+// store revision from which a watch misses none of the later ones.
+func (s *Store) catchUp(ctx context.Context) (uint64, error) {
+	var watchFrom uint64
+	for page := 0; ; page++ {
+		list, err := s.objects.List(ctx, changePrefix, changeKey(s.replica.Revision()), changePage)
+		if err != nil {
+			return 0, storeError(err)
+		}
+		if page == 0 {
+			watchFrom = list.Revision
+		}
+		if err := s.applyObjects(list.Objects); err != nil {
+			return 0, err
+		}
+		if !list.More || len(list.Objects) == 0 {
+			return watchFrom, nil
+		}
+	}
+}
+
+func (s *Store) applyObjects(objects []platform.Object) error {
+	changes := make([]Change, 0, len(objects))
+	for _, o := range objects {
+		c, err := decodeStored(o)
+		if err != nil {
+			return err
+		}
+		changes = append(changes, c)
+	}
+	return s.replica.ApplyAll(changes)
+}
+
+// Load fills the replica from the newest snapshot and the changes after it.
+// It returns ErrUnavailable if the store can't be reached.
+func (s *Store) Load(ctx context.Context) error {
+	snapshots, err := s.listSnapshots(ctx)
+	if err != nil {
+		return err
+	}
+	for i := len(snapshots) - 1; i >= 0; i-- {
+		snapshot, err := DecodeSnapshot(snapshots[i].Value)
+		if err != nil {
+			s.report(err)
+			continue
+		}
+		if err := s.replica.Install(snapshot); err != nil && !errors.Is(err, ErrStale) {
+			return err
+		}
+		break
+	}
+	_, err = s.catchUp(ctx)
+	return err
+}
+
+func (s *Store) listSnapshots(ctx context.Context) ([]platform.Object, error) {
+	var all []platform.Object
+	after := ""
+	for {
+		list, err := s.objects.List(ctx, snapshotPrefix, after, snapshotPage)
+		if err != nil {
+			return nil, storeError(err)
+		}
+		all = append(all, list.Objects...)
+		if !list.More || len(list.Objects) == 0 {
+			return all, nil
+		}
+		after = list.Objects[len(list.Objects)-1].Key
+	}
+}
+
+// WriteSnapshot writes a snapshot of the replica's current state, unless the
+// store has one of that revision, and deletes all but the newest two. Follow
+// calls it after this store accepted a change whose revision is a multiple of
+// SnapshotInterval.
+func (s *Store) WriteSnapshot(ctx context.Context) error {
+	state := s.replica.State()
+	data, err := EncodeSnapshot(state.Snapshot())
+	if err != nil {
+		return err
+	}
+	if len(data) > platform.MaxValueBytes {
+		return fmt.Errorf("%w: %d bytes", ErrSnapshotTooLarge, len(data))
+	}
+	_, err = s.objects.Create(ctx, snapshotKey(state.Revision()), data)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return storeError(err)
+	}
+	snapshots, err := s.listSnapshots(ctx)
+	if err != nil {
+		return err
+	}
+	for _, o := range snapshots[:max(0, len(snapshots)-keptSnapshots)] {
+		// Another entry may delete the same snapshot at the same time.
+		err := s.objects.Delete(ctx, o.Key, o.Version)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
+			return storeError(err)
+		}
+	}
+	return nil
+}
+
+// Follow feeds the replica from the store until ctx ends. It retries through
+// outages with jittered backoff and also writes the snapshots that are due.
+func (s *Store) Follow(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.writeDueSnapshots(ctx)
+	}()
+	defer func() { <-done }()
+	for failures := 0; ctx.Err() == nil; {
+		progress, err := s.follow(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		s.report(err)
+		if progress {
+			failures = 0
+		}
+		if err := sleep(ctx, backoff(failures)); err != nil {
+			break
+		}
+		failures++
+	}
+	return ctx.Err()
+}
+
+// follow catches up and then watches until a call fails. It reports whether
+// any call succeeded.
+func (s *Store) follow(ctx context.Context) (progress bool, err error) {
+	after, err := s.catchUp(ctx)
+	if err != nil {
+		return false, err
+	}
+	for {
+		list, err := s.objects.Watch(ctx, changePrefix, after, platform.DefaultWatchTimeout)
+		if err != nil {
+			return true, storeError(err)
+		}
+		if err := s.applyObjects(list.Objects); err != nil {
+			return true, err
+		}
+		switch {
+		case len(list.Objects) > 0:
+			after = max(after, list.Objects[len(list.Objects)-1].Version)
+		default:
+			after = max(after, list.Revision)
+		}
+	}
+}
+
+func (s *Store) writeDueSnapshots(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.snapshotDue:
+			if err := s.WriteSnapshot(ctx); err != nil {
+				s.report(err)
+			}
+		}
+	}
+}
+
+// Audit returns at most limit changes after a revision, oldest first. It reads
+// the store only if the replica no longer keeps them.
+func (s *Store) Audit(ctx context.Context, after Revision, limit int) ([]Change, error) {
+	limit = min(max(limit, 1), MaxHistory)
+	if changes, ok := s.replica.Since(after); ok {
+		return changes[:min(limit, len(changes))], nil
+	}
+	var changes []Change
+	for len(changes) < limit {
+		list, err := s.objects.List(ctx, changePrefix, changeKey(after), min(changePage, limit-len(changes)))
+		if err != nil {
+			return nil, storeError(err)
+		}
+		for _, o := range list.Objects {
+			c, err := decodeStored(o)
+			if err != nil {
+				return nil, err
+			}
+			changes = append(changes, c)
+			after = c.Revision
+		}
+		if !list.More || len(list.Objects) == 0 {
+			break
+		}
+	}
+	return changes, nil
+}
+
+// History returns at most limit changes of an object, newest first. It returns
+// ErrNotFound if the object never existed.
+func (s *Store) History(ctx context.Context, kind Kind, name string, limit int) ([]Change, error) {
+	limit = min(max(limit, 1), MaxHistory)
+	o, _ := s.State().Object(kind, name)
+	if o.Version == 0 {
+		return nil, ErrNotFound
+	}
+	var changes []Change
+	for r := o.Version; r > 0 && len(changes) < limit; {
+		c, err := s.readChange(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, c)
+		r = c.Base
+	}
+	return changes, nil
+}
--- /dev/null
+++ b/internal/config/store_test.go
@@ -0,0 +1,310 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/platform"
+)
+
+// fakeObjects is a store in memory. Each call fails with probability faults:
+// not sent, sent but not applied, applied with a lost answer, or applied later.
+type fakeObjects struct {
+	mu      sync.Mutex
+	objects map[string]platform.Object
+	version uint64
+	random  *rand.Rand
+	faults  float64
+	down    bool
+	late    sync.WaitGroup
+}
+
+func newFake(seed uint64, faults float64) *fakeObjects {
+	return &fakeObjects{objects: map[string]platform.Object{}, random: rand.New(rand.NewPCG(seed, 0)), faults: faults}
+}
+
+func (f *fakeObjects) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakeObjects) failRead() error {
+	if f.down || f.random.Float64() < f.faults {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (f *fakeObjects) Get(_ context.Context, key string) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.failRead(); err != nil {
+		return platform.Object{}, err
+	}
+	if o, ok := f.objects[key]; ok {
+		return o, nil
+	}
+	return platform.Object{}, platform.ErrNotFound
+}
+
+func (f *fakeObjects) put(key string, value []byte) (platform.Object, error) {
+	if _, ok := f.objects[key]; ok {
+		return platform.Object{}, platform.ErrConflict
+	}
+	f.version++
+	f.objects[key] = platform.Object{Key: key, Version: f.version, Value: value}
+	return f.objects[key], nil
+}
+
+func (f *fakeObjects) Create(_ context.Context, key string, value []byte) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	if f.random.Float64() >= f.faults {
+		return f.put(key, value)
+	}
+	switch f.random.IntN(4) {
+	case 0:
+		return platform.Object{}, platform.ErrUnavailable
+	case 1:
+		_, _ = f.put(key, value)
+	case 2:
+		f.late.Add(1)
+		time.AfterFunc(time.Duration(f.random.IntN(60))*time.Millisecond, func() {
+			defer f.late.Done()
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			_, _ = f.put(key, value)
+		})
+	}
+	return platform.Object{}, platform.ErrOutcomeUnknown
+}
+
+func (f *fakeObjects) Delete(_ context.Context, key string, _ uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.objects, key)
+	return nil
+}
+
+func (f *fakeObjects) List(_ context.Context, prefix, after string, limit int) (platform.ListResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := platform.ListResponse{Revision: f.version}
+	for key, o := range f.objects {
+		if strings.HasPrefix(key, prefix) && key > after {
+			r.Objects = append(r.Objects, o)
+		}
+	}
+	sort.Slice(r.Objects, func(i, j int) bool { return r.Objects[i].Key < r.Objects[j].Key })
+	if len(r.Objects) > limit {
+		r.Objects, r.More = r.Objects[:limit], true
+	}
+	return r, f.failRead()
+}
+
+func (f *fakeObjects) Watch(ctx context.Context, prefix string, after uint64, _ time.Duration) (platform.ListResponse, error) {
+	for ctx.Err() == nil {
+		r, err := f.List(ctx, prefix, "", 1<<20)
+		n := sort.Search(len(r.Objects), func(i int) bool { return r.Objects[i].Version > after })
+		if r.Objects = r.Objects[n:]; err != nil || len(r.Objects) > 0 {
+			return r, err
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return platform.ListResponse{}, platform.ErrUnavailable
+}
+
+type acceptInput struct {
+	name string
+	base Revision
+}
+
+// acceptOutput is the accepted revision, or 0 for a conflict.
+type acceptOutput struct{ revision Revision }
+
+// versionModel is the sequential specification of one object: a proposal is
+// accepted exactly if its base is the object's version.
+var versionModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byName := map[string][]porcupine.Operation{}
+		for _, o := range history {
+			name := o.Input.(acceptInput).name
+			byName[name] = append(byName[name], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, p := range byName {
+			parts = append(parts, p)
+		}
+		return parts
+	},
+	Init: func() any { return Revision(0) },
+	Step: func(state, input, output any) (bool, any) {
+		version, base, revision := state.(Revision), input.(acceptInput).base, output.(acceptOutput).revision
+		if revision == 0 {
+			return version != base, state
+		}
+		return version == base && revision > version, revision
+	},
+}
+
+// Guards against lost, duplicated and reordered changes when operators at
+// several entries race and the store loses answers and has outages.
+func TestAcceptIsLinearizable(t *testing.T) {
+	const seed, entries, operators, rounds = 20261204, 3, 6, 40
+	t.Logf("seed %d", seed)
+	fake := newFake(seed, 0.15)
+	ctx, cancel := context.WithCancel(context.Background())
+	var followers, workers sync.WaitGroup
+	stores := make([]*Store, entries)
+	for i := range stores {
+		s := NewStore(fake, NewReplica(), time.Now, nil)
+		stores[i] = s
+		followers.Go(func() { _ = s.Follow(ctx) })
+	}
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	open := map[string]porcupine.Operation{}
+	results := map[string]Revision{}
+	start := time.Now()
+	for w := range operators {
+		random := rand.New(rand.NewPCG(seed, uint64(w)))
+		workers.Go(func() {
+			for i := range rounds {
+				time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+				s := stores[random.IntN(entries)]
+				name := fmt.Sprintf("t%d", random.IntN(3))
+				o, _ := s.State().Object(KindTeam, name)
+				p := teamProposal(fmt.Sprintf("w%d-%d", w, i), name, o.Version)
+				op := porcupine.Operation{ClientId: w, Input: acceptInput{name, o.Version}, Call: time.Since(start).Nanoseconds()}
+				c, err := s.Accept(ctx, p)
+				for tries := 0; tries < 2 && errors.Is(err, ErrUnknownOutcome); tries++ {
+					c, err = stores[random.IntN(entries)].Accept(ctx, p)
+				}
+				op.Return = time.Since(start).Nanoseconds()
+				op.Output = acceptOutput{c.Revision}
+				var conflict *ConflictError
+				mu.Lock()
+				switch {
+				case err == nil:
+					results[p.ID] = c.Revision
+					history = append(history, op)
+				case errors.As(err, &conflict):
+					history = append(history, op)
+				default:
+					assert.Check(t, errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUnknownOutcome), "%v", err)
+					open[p.ID] = op
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	outages := make(chan struct{})
+	go func() {
+		defer close(outages)
+		for range 4 {
+			time.Sleep(100 * time.Millisecond)
+			fake.setDown(true)
+			time.Sleep(100 * time.Millisecond)
+			fake.setDown(false)
+		}
+	}()
+	workers.Wait()
+	<-outages
+	fake.late.Wait()
+
+	fake.mu.Lock()
+	log := len(fake.objects)
+	fake.mu.Unlock()
+	ids := map[string]bool{}
+	for _, s := range stores {
+		wait, stop := context.WithTimeout(ctx, 30*time.Second)
+		assert.NilError(t, s.Replica().Wait(wait, Revision(log)))
+		stop()
+	}
+	cancel()
+	followers.Wait()
+	changes, ok := stores[0].Replica().Since(0)
+	assert.Assert(t, ok)
+	end := time.Since(start).Nanoseconds()
+	for _, c := range changes {
+		assert.Assert(t, !ids[c.ID], "change %s is in the log twice", c.ID)
+		ids[c.ID] = true
+		if op, ok := open[c.ID]; ok {
+			op.Output, op.Return = acceptOutput{c.Revision}, end
+			history = append(history, op)
+		} else {
+			assert.Equal(t, results[c.ID], c.Revision)
+		}
+	}
+	for id := range results {
+		assert.Assert(t, ids[id], "accepted change %s is not in the log", id)
+	}
+	t.Logf("%d operations, %d accepted, %d without an answer", operators*rounds, len(changes), len(open))
+	result := porcupine.CheckOperationsTimeout(versionModel, history, time.Minute)
+	assert.Equal(t, result, porcupine.Ok)
+}
+
+// Guards against a repeated change being applied twice and against an id that
+// silently covers other content.
+func TestAcceptRepeated(t *testing.T) {
+	ctx := context.Background()
+	fake := newFake(1, 0)
+	a, b := NewStore(fake, NewReplica(), time.Now, nil), NewStore(fake, NewReplica(), time.Now, nil)
+	first, err := a.Accept(ctx, teamProposal("c1", "a", 0, 1))
+	assert.NilError(t, err)
+	_, err = a.Accept(ctx, teamProposal("c2", "a", 1, 2))
+	assert.NilError(t, err)
+	repeated, err := b.Accept(ctx, teamProposal("c1", "a", 0, 1))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, repeated, first)
+	_, err = b.Accept(ctx, teamProposal("c1", "a", 0, 3))
+	assert.ErrorIs(t, err, ErrChangeIDReused)
+	fake.setDown(true)
+	_, err = b.Accept(ctx, teamProposal("c3", "a", 2, 3))
+	assert.ErrorIs(t, err, ErrUnavailable)
+}
+
+// Guards against a start that loses changes around a snapshot, and against
+// old snapshots piling up.
+func TestLoadSnapshotHistoryAudit(t *testing.T) {
+	ctx := context.Background()
+	fake := newFake(1, 0)
+	a := NewStore(fake, NewReplica(), time.Now, nil)
+	for i := range 300 {
+		_, err := a.Accept(ctx, teamProposal(fmt.Sprint("c", i), "a", Revision(i), i))
+		assert.NilError(t, err)
+		if i%100 == 50 {
+			assert.NilError(t, a.WriteSnapshot(ctx))
+		}
+	}
+	b := NewStore(fake, NewReplica(), time.Now, nil)
+	assert.NilError(t, b.Load(ctx))
+	want, err := EncodeSnapshot(a.State().Snapshot())
+	assert.NilError(t, err)
+	got, err := EncodeSnapshot(b.State().Snapshot())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+	assert.Equal(t, len(fake.objects), 300+keptSnapshots)
+	audit, err := b.Audit(ctx, 10, 200)
+	assert.NilError(t, err)
+	assert.Equal(t, len(audit), 200)
+	assert.Equal(t, audit[0].Revision, Revision(11))
+	history, err := b.History(ctx, KindTeam, "a", 300)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), 300)
+	assert.Equal(t, history[299].Revision, Revision(1))
+}
