Add the HTTP API for operators and its client

Cause: operators need to read and change the configuration and to see and drain upstreams through any entry. Change: internal/adminapi serves objects, history, changes, audit, revision, status, teams, drain, explain and ready, and holds the Go client. Errors keep their type across the connection. The client reports an unknown outcome for any write that was sent and has no answer of the API; trusting a 503 of a load balancer was ruled out because it may have forwarded the request. internal/httpclient holds the send trace that the platform client also uses. Result: unit tests for the author, error types, authentication of all 10 guarded paths and lost answers pass under -race.

--- /dev/null
+++ b/internal/adminapi/adminapi_test.go
@@ -0,0 +1,186 @@
+package adminapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+// fakeConfiguration accepts in memory; err replaces the result of Accept.
+type fakeConfiguration struct {
+	replica *config.Replica
+	err     error
+}
+
+func (f *fakeConfiguration) State() *config.State { return f.replica.State() }
+
+func (f *fakeConfiguration) Accept(_ context.Context, p config.Proposal) (config.Change, error) {
+	p, err := p.Normalize()
+	if err == nil {
+		err = f.err
+	}
+	if err != nil {
+		return config.Change{}, err
+	}
+	c, err := f.State().Next(p, time.Now())
+	if err != nil {
+		return config.Change{}, err
+	}
+	return c, f.replica.Apply(c)
+}
+
+func (f *fakeConfiguration) Audit(_ context.Context, after config.Revision, _ int) ([]config.Change, error) {
+	changes, _ := f.replica.Since(after)
+	return changes, nil
+}
+
+func (f *fakeConfiguration) History(context.Context, config.Kind, string, int) ([]config.Change, error) {
+	return f.Audit(context.Background(), 0, 0)
+}
+
+type fakeBackend struct{ drained string }
+
+func (f *fakeBackend) Status(context.Context) (Status, error) { return Status{Process: "p"}, nil }
+
+func (f *fakeBackend) Teams(context.Context) ([]TeamStatus, error) {
+	return []TeamStatus{{Team: "a", Weight: 2}}, nil
+}
+
+func (f *fakeBackend) Drain(_ context.Context, instance upstream.InstanceID, operator string) error {
+	f.drained = operator + " " + string(instance)
+	return nil
+}
+
+func (f *fakeBackend) Explain(context.Context, request.ID) (Explanation, error) {
+	return Explanation{}, ErrNotFound
+}
+
+func (f *fakeBackend) Ready() error { return errors.New("no revision") }
+
+func newTestServer(t *testing.T) (*fakeConfiguration, *fakeBackend, string) {
+	digest := sha256.Sum256([]byte("secret"))
+	c, b := &fakeConfiguration{replica: config.NewReplica()}, &fakeBackend{}
+	h, err := NewHandler([]Operator{{Name: "ama", KeyHash: hex.EncodeToString(digest[:])}}, c, b)
+	assert.NilError(t, err)
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return c, b, server.URL
+}
+
+func proposal(id string, base config.Revision, value string) config.Proposal {
+	return config.Proposal{ID: id, Author: "someone else", Kind: config.KindTeam, Name: "a", Base: base, Value: json.RawMessage(value)}
+}
+
+// Guards against changes under a forged author and against errors that lose
+// their type on the way to the operator.
+func TestChanges(t *testing.T) {
+	ctx := context.Background()
+	fake, _, url := newTestServer(t)
+	c := NewClient(url, "secret")
+	defer c.Close()
+	change, err := c.Propose(ctx, proposal("c1", 0, `{"name":"a"}`))
+	assert.NilError(t, err)
+	assert.Equal(t, change.Author, "ama")
+	_, err = c.Propose(ctx, proposal("c2", 0, `{"name":"a"}`))
+	var e *Error
+	assert.Assert(t, errors.As(err, &e))
+	assert.ErrorIs(t, err, ErrConflict)
+	assert.Equal(t, e.ChangeID+" "+e.Author, "c1 ama")
+	_, err = c.Propose(ctx, proposal("c2", 1, `{"name":"a","weight":-1}`))
+	assert.Assert(t, errors.As(err, &e))
+	assert.Equal(t, e.Field, "weight")
+	_, err = c.Propose(ctx, proposal("c2", 1, `"`+strings.Repeat("x", MaxBodyBytes)+`"`))
+	assert.ErrorIs(t, err, ErrInvalid)
+	for _, tc := range []struct{ err, want error }{
+		{&config.UnknownOutcomeError{ChangeID: "c2", Cause: errors.New("lost")}, ErrUnknownOutcome},
+		{config.ErrUnavailable, ErrUnavailable},
+		{config.ErrChangeIDReused, ErrChangeIDReused},
+		{errors.New("other"), ErrInternal},
+	} {
+		fake.err = tc.err
+		_, err = c.Propose(ctx, proposal("c2", 1, `{"name":"a"}`))
+		assert.ErrorIs(t, err, tc.want)
+	}
+}
+
+// Guards against reads that fail or change on the way.
+func TestReads(t *testing.T) {
+	ctx := context.Background()
+	_, b, url := newTestServer(t)
+	c := NewClient(url, "secret")
+	defer c.Close()
+	_, err := c.Propose(ctx, proposal("c1", 0, `{"name":"a"}`))
+	assert.NilError(t, err)
+	objects, err := c.Objects(ctx, config.KindTeam)
+	assert.NilError(t, err)
+	assert.Equal(t, objects[0].Version, config.Revision(1))
+	_, err = c.Object(ctx, config.KindTeam, "b")
+	assert.ErrorIs(t, err, ErrNotFound)
+	_, err = c.Objects(ctx, "other")
+	assert.ErrorIs(t, err, ErrInvalid)
+	audit, err := c.Audit(ctx, 0, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(audit), 1)
+	teams, err := c.Teams(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, teams[0].Weight, 2.0)
+	assert.NilError(t, c.Drain(ctx, "u/1"))
+	assert.Equal(t, b.drained, "ama u/1")
+	_, err = c.Explain(ctx, request.NewID())
+	assert.ErrorIs(t, err, ErrNotFound)
+	assert.ErrorContains(t, c.Ready(ctx), "no revision")
+}
+
+// Guards against a path that needs no operator key.
+func TestAuthentication(t *testing.T) {
+	_, _, url := newTestServer(t)
+	for _, path := range []string{PathObjects + "team", PathObjects + "team/a", PathHistory + "team/a", PathChanges,
+		PathAudit, PathRevision, PathStatus, PathTeams, PathDrain + "u", PathExplain + "x"} {
+		for _, authorization := range []string{"", "Bearer ", "Bearer other", "secret"} {
+			method := http.MethodGet
+			if path == PathChanges || path == PathDrain+"u" {
+				method = http.MethodPost
+			}
+			r, _ := http.NewRequest(method, url+path, nil)
+			r.Header.Set("Authorization", authorization)
+			response, err := http.DefaultClient.Do(r)
+			assert.NilError(t, err)
+			response.Body.Close()
+			assert.Equal(t, response.StatusCode, http.StatusUnauthorized, path)
+		}
+	}
+}
+
+// Guards against a change reported as not applied although its answer is lost.
+func TestLostAnswer(t *testing.T) {
+	for _, status := range []int{0, http.StatusBadGateway, http.StatusServiceUnavailable} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if status == 0 {
+				panic(http.ErrAbortHandler)
+			}
+			w.WriteHeader(status)
+		}))
+		c := NewClient(server.URL, "k")
+		_, err := c.Propose(context.Background(), proposal("c1", 0, `{}`))
+		var e *Error
+		assert.Assert(t, errors.As(err, &e))
+		assert.Equal(t, e.Code, CodeUnknownOutcome)
+		assert.Equal(t, e.ChangeID, "c1")
+		server.Close()
+		_, err = c.Propose(context.Background(), proposal("c1", 0, `{}`))
+		assert.ErrorIs(t, err, ErrUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/adminapi/api.go
@@ -0,0 +1,228 @@
+// Package adminapi serves the HTTP API for operators and holds its client.
+package adminapi
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+// Paths of the API. A kind, name, instance or request id follows a path that
+// ends in '/'.
+const (
+	PathPrefix   = "/admin/v1/"
+	PathObjects  = PathPrefix + "objects/"
+	PathHistory  = PathPrefix + "history/"
+	PathChanges  = PathPrefix + "changes"
+	PathAudit    = PathPrefix + "audit"
+	PathRevision = PathPrefix + "revision"
+	PathStatus   = PathPrefix + "status"
+	PathTeams    = PathPrefix + "teams"
+	PathDrain    = PathPrefix + "drain/"
+	PathExplain  = PathPrefix + "explain/"
+	PathReady    = PathPrefix + "ready"
+)
+
+const (
+	// MaxBodyBytes bounds a request body: one object and its envelope.
+	MaxBodyBytes = config.MaxObjectBytes + 4<<10
+	// DefaultLimit is the number of changes in an audit or history without a
+	// limit.
+	DefaultLimit = 100
+)
+
+// Configuration is the configuration service that the API exposes.
+// *config.Store implements it.
+type Configuration interface {
+	State() *config.State
+	Accept(ctx context.Context, p config.Proposal) (config.Change, error)
+	Audit(ctx context.Context, after config.Revision, limit int) ([]config.Change, error)
+	History(ctx context.Context, kind config.Kind, name string, limit int) ([]config.Change, error)
+}
+
+// Backend is the rest of the process that the API exposes. The entry
+// implements it. Drain and Explain return an error that wraps ErrNotFound if
+// the instance or request isn't known.
+type Backend interface {
+	// Status describes the process and the upstreams it knows.
+	Status(ctx context.Context) (Status, error)
+	// Teams returns a row for each team and entry.
+	Teams(ctx context.Context) ([]TeamStatus, error)
+	// Drain makes an upstream leave. operator is for the audit log.
+	Drain(ctx context.Context, instance upstream.InstanceID, operator string) error
+	// Explain says how a recent request was routed.
+	Explain(ctx context.Context, id request.ID) (Explanation, error)
+	// Ready returns nil if the process can serve callers.
+	Ready() error
+}
+
+// Status describes one process.
+type Status struct {
+	// Process is the random id of the process, new at each start.
+	Process       string          `json:"process"`
+	Role          string          `json:"role"`
+	Instance      string          `json:"instance"`
+	FailureDomain string          `json:"failure_domain"`
+	Revision      config.Revision `json:"revision"`
+	Ready         bool            `json:"ready"`
+	// NotReadyReason is empty if Ready.
+	NotReadyReason string           `json:"not_ready_reason,omitempty"`
+	Upstreams      []UpstreamStatus `json:"upstreams"`
+}
+
+// UpstreamStatus describes one upstream as the process sees it.
+type UpstreamStatus struct {
+	Instance      upstream.InstanceID `json:"instance"`
+	FailureDomain string              `json:"failure_domain"`
+	Kind          upstream.Kind       `json:"kind"`
+	// Model and Layers are set for engines, Service for plain services.
+	Model   string              `json:"model,omitempty"`
+	Service string              `json:"service,omitempty"`
+	Layers  pipeline.LayerRange `json:"layers,omitzero"`
+	// State may also be "suspect" or "gone", which only an entry decides.
+	State upstream.State `json:"state"`
+	Load  upstream.Load  `json:"load"`
+	// Revision is the configuration that the sidecar last reported.
+	Revision config.Revision `json:"revision"`
+}
+
+// TeamStatus is the load of one team at one entry.
+type TeamStatus struct {
+	Team     string  `json:"team"`
+	Entry    string  `json:"entry"`
+	Weight   float64 `json:"weight"`
+	InFlight int     `json:"in_flight"`
+	// QueuedTokens is the cost of the waiting work in tokens.
+	QueuedTokens    int     `json:"queued_tokens"`
+	TokensPerSecond float64 `json:"tokens_per_second"`
+	// Admitted and Refused count requests since the entry started.
+	Admitted uint64 `json:"admitted"`
+	Refused  uint64 `json:"refused"`
+}
+
+// Explanation says how one request was routed.
+type Explanation struct {
+	RequestID request.ID      `json:"request_id"`
+	Team      string          `json:"team"`
+	Profile   string          `json:"profile"`
+	Outcome   request.Outcome `json:"outcome"`
+	// Candidates are the chains that the planner compared, cheapest first.
+	Candidates []ChainCandidate `json:"candidates"`
+	// Chosen is the first chain; replacements are in Attempts.
+	Chosen []Stage `json:"chosen"`
+	// Reason says why the chain was chosen.
+	Reason   string    `json:"reason"`
+	Attempts []Attempt `json:"attempts"`
+}
+
+// ChainCandidate is a chain over groups of upstreams.
+type ChainCandidate struct {
+	Groups []string `json:"groups"`
+	// CostMillis is the estimated time of one step in milliseconds.
+	CostMillis float64 `json:"cost_ms"`
+	// Rejected says why the chain was not usable; empty if it was.
+	Rejected string `json:"rejected,omitempty"`
+}
+
+// Stage is one stage of a chain.
+type Stage struct {
+	Instance upstream.InstanceID `json:"instance"`
+	Layers   pipeline.LayerRange `json:"layers"`
+	// Reason says why the instance was chosen within its group.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Attempt is one attempt or retry of a request.
+type Attempt struct {
+	Number request.Attempt `json:"number"`
+	// OffsetMillis is the time since the request arrived in milliseconds.
+	OffsetMillis float64 `json:"offset_ms"`
+	// Reason says why the attempt was made, for example which stage failed.
+	Reason string `json:"reason"`
+	// Replaced is the failed upstream and Replacement its successor; both are
+	// empty for the first attempt.
+	Replaced    upstream.InstanceID `json:"replaced,omitempty"`
+	Replacement upstream.InstanceID `json:"replacement,omitempty"`
+}
+
+// Revision answers GET /admin/v1/revision.
+type Revision struct {
+	Revision config.Revision `json:"revision"`
+}
+
+// Code classifies an Error.
+type Code string
+
+// Codes of errors.
+const (
+	CodeInvalid        Code = "invalid"
+	CodeUnauthorized   Code = "unauthorized"
+	CodeNotFound       Code = "not_found"
+	CodeConflict       Code = "conflict"
+	CodeChangeIDReused Code = "change_id_reused"
+	CodeUnavailable    Code = "unavailable"
+	CodeUnknownOutcome Code = "unknown_outcome"
+	CodeInternal       Code = "internal"
+)
+
+var (
+	// ErrInvalid means a field of the request is invalid.
+	ErrInvalid = errors.New("adminapi: invalid request")
+	// ErrUnauthorized means the operator's key is missing or unknown.
+	ErrUnauthorized = errors.New("adminapi: unauthorized")
+	// ErrNotFound means the object, instance or request isn't known.
+	ErrNotFound = errors.New("adminapi: not found")
+	// ErrConflict means another change won; *Error identifies it.
+	ErrConflict = errors.New("adminapi: conflict")
+	// ErrChangeIDReused means the change id belongs to another change.
+	ErrChangeIDReused = errors.New("adminapi: change id belongs to another change")
+	// ErrUnavailable means the request was not applied, and may be repeated.
+	ErrUnavailable = errors.New("adminapi: unavailable")
+	// ErrUnknownOutcome means a change may have been applied; *Error holds its
+	// id, with which it can be repeated safely.
+	ErrUnknownOutcome = errors.New("adminapi: outcome is unknown")
+	// ErrInternal is any other failure of the server.
+	ErrInternal = errors.New("adminapi: internal error")
+)
+
+// Error is the body of every answer that isn't a success.
+type Error struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Field is the JSON name of the invalid field.
+	Field string `json:"field,omitempty"`
+	// ChangeID, Author and Revision identify the other change of a conflict.
+	// For an unknown outcome, ChangeID is the request's own change.
+	ChangeID string          `json:"change_id,omitempty"`
+	Author   string          `json:"author,omitempty"`
+	Revision config.Revision `json:"revision,omitempty"`
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s", e.Code, e.Message) }
+
+// Unwrap returns the sentinel of the code.
+func (e *Error) Unwrap() error {
+	switch e.Code {
+	case CodeInvalid:
+		return ErrInvalid
+	case CodeUnauthorized:
+		return ErrUnauthorized
+	case CodeNotFound:
+		return ErrNotFound
+	case CodeConflict:
+		return ErrConflict
+	case CodeChangeIDReused:
+		return ErrChangeIDReused
+	case CodeUnavailable:
+		return ErrUnavailable
+	case CodeUnknownOutcome:
+		return ErrUnknownOutcome
+	}
+	return ErrInternal
+}
--- /dev/null
+++ b/internal/adminapi/client.go
@@ -0,0 +1,187 @@
+package adminapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/httpclient"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+const (
+	// clientTimeout bounds one call. It exceeds config.AcceptTimeout so that
+	// the server decides about a change.
+	clientTimeout = config.AcceptTimeout + 5*time.Second
+	// maxResponseBytes bounds a response: an audit of config.MaxHistory large
+	// changes.
+	maxResponseBytes = 128 << 20
+)
+
+// Client calls the API of one entry. It is safe for concurrent use.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// NewClient returns a client of the entry at baseURL. key is the operator's.
+func NewClient(baseURL, key string) *Client {
+	return &Client{base: strings.TrimRight(baseURL, "/"), key: key, http: httpclient.New()}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Objects returns the objects of a kind in order of names.
+func (c *Client) Objects(ctx context.Context, kind config.Kind) ([]config.Object, error) {
+	return call[[]config.Object](ctx, c, http.MethodGet, PathObjects+url.PathEscape(string(kind)), nil, nil)
+}
+
+// Object returns an object; a deleted one has Deleted set and no value. It
+// returns ErrNotFound if the object never existed.
+func (c *Client) Object(ctx context.Context, kind config.Kind, name string) (config.Object, error) {
+	return call[config.Object](ctx, c, http.MethodGet, objectPath(PathObjects, kind, name), nil, nil)
+}
+
+// History returns at most limit changes of an object, newest first.
+func (c *Client) History(ctx context.Context, kind config.Kind, name string, limit int) ([]config.Change, error) {
+	query := url.Values{"limit": {strconv.Itoa(limit)}}
+	return call[[]config.Change](ctx, c, http.MethodGet, objectPath(PathHistory, kind, name), query, nil)
+}
+
+// Propose sends a change. The server sets the author. It returns an *Error
+// that wraps ErrConflict, ErrInvalid, ErrNotFound, ErrChangeIDReused,
+// ErrUnavailable or ErrUnknownOutcome.
+func (c *Client) Propose(ctx context.Context, p config.Proposal) (config.Change, error) {
+	change, err := call[config.Change](ctx, c, http.MethodPost, PathChanges, nil, p)
+	var e *Error
+	if errors.As(err, &e) && e.Code == CodeUnknownOutcome {
+		e.ChangeID = p.ID
+	}
+	return change, err
+}
+
+// Audit returns at most limit changes after a revision, oldest first.
+func (c *Client) Audit(ctx context.Context, after config.Revision, limit int) ([]config.Change, error) {
+	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "limit": {strconv.Itoa(limit)}}
+	return call[[]config.Change](ctx, c, http.MethodGet, PathAudit, query, nil)
+}
+
+// Revision returns the configuration revision of the entry.
+func (c *Client) Revision(ctx context.Context) (config.Revision, error) {
+	r, err := call[Revision](ctx, c, http.MethodGet, PathRevision, nil, nil)
+	return r.Revision, err
+}
+
+// Status describes the entry and its upstreams.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return call[Status](ctx, c, http.MethodGet, PathStatus, nil, nil)
+}
+
+// Teams returns a row for each team and entry.
+func (c *Client) Teams(ctx context.Context) ([]TeamStatus, error) {
+	return call[[]TeamStatus](ctx, c, http.MethodGet, PathTeams, nil, nil)
+}
+
+// Drain makes an upstream leave.
+func (c *Client) Drain(ctx context.Context, instance upstream.InstanceID) error {
+	_, err := call[struct{}](ctx, c, http.MethodPost, PathDrain+url.PathEscape(string(instance)), nil, nil)
+	return err
+}
+
+// Explain says how a request was routed.
+func (c *Client) Explain(ctx context.Context, id request.ID) (Explanation, error) {
+	return call[Explanation](ctx, c, http.MethodGet, PathExplain+url.PathEscape(string(id)), nil, nil)
+}
+
+// Ready returns nil if the entry can serve callers.
+func (c *Client) Ready(ctx context.Context) error {
+	_, err := call[struct{}](ctx, c, http.MethodGet, PathReady, nil, nil)
+	return err
+}
+
+func objectPath(prefix string, kind config.Kind, name string) string {
+	return prefix + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+}
+
+func call[T any](ctx context.Context, c *Client, method, path string, query url.Values, body any) (T, error) {
+	var result T
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	ctx, sent := httpclient.TraceSent(ctx)
+	r, err := c.newRequest(ctx, method, path, query, body)
+	if err != nil {
+		return result, &Error{Code: CodeInvalid, Message: err.Error()}
+	}
+	// failed is the code of a call without a usable answer.
+	failed := CodeUnavailable
+	response, err := c.http.Do(r)
+	if method != http.MethodGet && sent() {
+		failed = CodeUnknownOutcome
+	}
+	if err != nil {
+		return result, &Error{Code: failed, Message: err.Error()}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(data) > maxResponseBytes {
+		err = fmt.Errorf("response exceeds %d bytes", maxResponseBytes)
+	}
+	if err != nil {
+		return result, &Error{Code: failed, Message: err.Error()}
+	}
+	if response.StatusCode != http.StatusOK {
+		return result, responseError(response.StatusCode, data, failed)
+	}
+	if err := json.Unmarshal(data, &result); err != nil {
+		return result, &Error{Code: failed, Message: err.Error()}
+	}
+	return result, nil
+}
+
+// responseError returns the server's error. An answer that isn't the API's,
+// such as a load balancer's, proves nothing about a change unless it is a
+// client error.
+func responseError(status int, data []byte, failed Code) error {
+	e := &Error{}
+	if err := json.Unmarshal(data, e); err == nil && statusOf[e.Code] == status {
+		return e
+	}
+	if status < http.StatusInternalServerError {
+		failed = CodeInternal
+	}
+	return &Error{Code: failed, Message: fmt.Sprintf("unexpected answer: HTTP %d", status)}
+}
+
+func (c *Client) newRequest(ctx context.Context, method, path string, query url.Values, body any) (*http.Request, error) {
+	target := c.base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		reader = bytes.NewReader(data)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, target, reader)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.key)
+	r.Header.Set("Content-Type", "application/json")
+	return r, nil
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,12 +8,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/httpclient"
 )
 
 const (
@@ -26,8 +26,6 @@
 	DefaultMaxResponseBytes = 16 << 20
 	// maxErrorBytes bounds the text of an error response that is kept.
 	maxErrorBytes = 512
-	// maxIdleConnections bounds the idle connections to the platform.
-	maxIdleConnections = 8
 )
 
 var (
@@ -81,12 +79,9 @@
 // NewClient returns a client of the platform at baseURL, for example
 // "http://10.0.0.1:8080".
 func NewClient(baseURL string, options ...Option) *Client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	transport.MaxIdleConnsPerHost = maxIdleConnections
 	c := &Client{
 		base:             strings.TrimRight(baseURL, "/"),
-		http:             &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+		http:             httpclient.New(),
 		timeout:          DefaultTimeout,
 		maxResponseBytes: DefaultMaxResponseBytes,
 	}
@@ -96,10 +91,6 @@
 	return c
 }
 
-// refuseRedirect returns a redirect as the response. Following it would send a
-// write a second time.
-func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -206,8 +197,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, traceSent(&sent))
+	ctx, sent := httpclient.TraceSent(ctx)
 	request, err := newWrite(ctx, method, c.base+objectPath(key), value)
 	if err != nil {
 		return Object{}, fmt.Errorf("%w: %w", ErrRejected, err)
@@ -215,7 +205,7 @@
 	request.Header.Set(condition, expected)
 	response, err := c.http.Do(request)
 	if err != nil {
-		if sent.Load() {
+		if sent() {
 			return Object{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 		}
 		return Object{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
@@ -224,16 +214,6 @@
 	return c.writeResult(response, key)
 }
 
-// traceSent sets sent before the first byte of a request can be written.
-// net/http repeats a PUT or DELETE only if it wrote nothing to the previous
-// connection, so the request is unsent again when it asks for another one.
-func traceSent(sent *atomic.Bool) *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{
-		GetConn: func(string) { sent.Store(false) },
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	}
-}
-
 func newWrite(ctx context.Context, method, target string, value []byte) (*http.Request, error) {
 	if method == http.MethodDelete {
 		return http.NewRequestWithContext(ctx, method, target, nil)
