--- /dev/null
+++ b/internal/ctl/args.go
@@ -0,0 +1,97 @@
+// Package ctl is the logic of nutmegctl.
+package ctl
+
+import (
+	"github.com/nutmegroute/nutmegroute/internal/config"
+)
+
+type getArgs struct {
+	Name string `arg:"positional,required" help:"name of the object"`
+}
+
+type listArgs struct{}
+
+type historyArgs struct {
+	Name  string `arg:"positional,required" help:"name of the object"`
+	Limit int    `arg:"--limit" default:"100" help:"most changes to print, newest first"`
+}
+
+// changeArgs are the options of commands that propose a change.
+type changeArgs struct {
+	Base     *uint64 `arg:"--base" help:"version that the change is based on [default: the version in the file, or else the current one]"`
+	ChangeID string  `arg:"--change-id" help:"repeat the change with this id; needs a base version"`
+}
+
+type applyArgs struct {
+	File string `arg:"positional" default:"-" help:"JSON file with the object, or with the output of get; - is standard input"`
+	changeArgs
+}
+
+type deleteArgs struct {
+	Name string `arg:"positional,required" help:"name of the object"`
+	changeArgs
+}
+
+// objectArgs are the subcommands of one kind of object.
+type objectArgs struct {
+	Get     *getArgs     `arg:"subcommand:get" help:"print an object"`
+	List    *listArgs    `arg:"subcommand:list" help:"print all objects"`
+	Apply   *applyArgs   `arg:"subcommand:apply" help:"create or revise an object"`
+	Delete  *deleteArgs  `arg:"subcommand:delete" help:"delete an object"`
+	History *historyArgs `arg:"subcommand:history" help:"print the changes of an object"`
+}
+
+type drainArgs struct {
+	Instance string `arg:"positional,required" help:"instance of the upstream"`
+}
+
+type explainArgs struct {
+	RequestID string `arg:"positional,required" help:"request id from Nutmegroute-Request-Id"`
+}
+
+type auditArgs struct {
+	After uint64 `arg:"--after" help:"print the changes after this revision [default: 0]"`
+	Limit int    `arg:"--limit" default:"100" help:"most changes to print"`
+}
+
+type arguments struct {
+	Profile   *objectArgs  `arg:"subcommand:profile" help:"profiles"`
+	Team      *objectArgs  `arg:"subcommand:team" help:"teams"`
+	Service   *objectArgs  `arg:"subcommand:service" help:"plain services"`
+	Placement *objectArgs  `arg:"subcommand:placement" help:"placements"`
+	Status    *struct{}    `arg:"subcommand:status" help:"print the entry and its upstreams"`
+	Teams     *struct{}    `arg:"subcommand:teams" help:"print the load of each team"`
+	Drain     *drainArgs   `arg:"subcommand:drain" help:"make an upstream leave"`
+	Explain   *explainArgs `arg:"subcommand:explain" help:"say how a request was routed"`
+	Audit     *auditArgs   `arg:"subcommand:audit" help:"print the accepted changes"`
+
+	Server string `arg:"--server,env:NUTMEGCTL_SERVER" default:"http://127.0.0.1:8081" placeholder:"URL" help:"admin address of an entry"`
+	Key    string `arg:"--key,env:NUTMEGCTL_KEY" help:"operator key; the variable keeps it out of the process list"`
+	Output string `arg:"--output,-o" default:"table" placeholder:"table|json" help:"output format"`
+}
+
+// Description is the text at the top of the help.
+func (arguments) Description() string {
+	return "nutmegctl reads and changes the configuration of nutmegroute through any entry."
+}
+
+// Epilogue documents the exit codes at the end of the help.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 success, 1 error, 2 usage, 3 conflict with another change, 4 not found,\n" +
+		"5 unknown outcome (repeat with the printed --change-id and --base), 6 unavailable."
+}
+
+// object returns the chosen object command and its kind.
+func (a *arguments) object() (config.Kind, *objectArgs) {
+	switch {
+	case a.Profile != nil:
+		return config.KindProfile, a.Profile
+	case a.Team != nil:
+		return config.KindTeam, a.Team
+	case a.Service != nil:
+		return config.KindService, a.Service
+	case a.Placement != nil:
+		return config.KindPlacement, a.Placement
+	}
+	return "", nil
+}
--- /dev/null
+++ b/internal/ctl/print.go
@@ -0,0 +1,162 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/adminapi"
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+)
+
+// columnGap is the number of spaces between two columns.
+const columnGap = 2
+
+// printer writes results as tables or JSON.
+type printer struct {
+	w    io.Writer
+	json bool
+}
+
+// output returns a function that prints the result of a call, or returns its
+// error.
+func output[T any](p *printer, table func(T) error) func(T, error) error {
+	return func(v T, err error) error {
+		if err != nil {
+			return err
+		}
+		if p.json {
+			return p.encode(v)
+		}
+		return table(v)
+	}
+}
+
+func (p *printer) encode(v any) error {
+	e := json.NewEncoder(p.w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// table writes a header and rows in aligned columns.
+func (p *printer) table(header string, rows [][]any) error {
+	w := tabwriter.NewWriter(p.w, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(w, strings.Join(strings.Fields(header), "\t"))
+	for _, row := range rows {
+		cells := make([]string, len(row))
+		for i, cell := range row {
+			if cells[i] = fmt.Sprint(cell); cells[i] == "" {
+				cells[i] = "-"
+			}
+		}
+		fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+	return w.Flush()
+}
+
+func (p *printer) object(o config.Object) error {
+	_, err := fmt.Fprintf(p.w, "version %d, changed by %s at %s (change %s)\n", o.Version, o.Author, stamp(o.Time), o.ChangeID)
+	if err != nil {
+		return err
+	}
+	return p.encode(o.Value)
+}
+
+func (p *printer) objects(objects []config.Object) error {
+	rows := make([][]any, len(objects))
+	for i, o := range objects {
+		rows[i] = []any{o.Name, o.Version, o.Author, stamp(o.Time), string(o.Value)}
+	}
+	return p.table("NAME VERSION AUTHOR TIME VALUE", rows)
+}
+
+func (p *printer) change(c config.Change) error {
+	if p.json {
+		return p.encode(c)
+	}
+	_, err := fmt.Fprintf(p.w, "%s %s is at revision %d (change %s)\n", c.Kind, c.Name, c.Revision, c.ID)
+	return err
+}
+
+func (p *printer) changes(changes []config.Change) error {
+	rows := make([][]any, len(changes))
+	for i, c := range changes {
+		after := string(c.After)
+		if c.Deleted {
+			after = "(deleted)"
+		}
+		rows[i] = []any{c.Revision, stamp(c.Time), c.Author, c.Kind, c.Name, c.Base, c.ID, after}
+	}
+	return p.table("REVISION TIME AUTHOR KIND NAME BASE CHANGE AFTER", rows)
+}
+
+func (p *printer) status(s adminapi.Status) error {
+	ready := "ready"
+	if !s.Ready {
+		ready = "not ready: " + s.NotReadyReason
+	}
+	_, err := fmt.Fprintf(p.w, "%s %s in %s, process %s, revision %d, %s\n\n", s.Role, s.Instance, s.FailureDomain, s.Process, s.Revision, ready)
+	if err != nil {
+		return err
+	}
+	rows := make([][]any, len(s.Upstreams))
+	for i, u := range s.Upstreams {
+		rows[i] = []any{u.Instance, u.FailureDomain, u.Kind, u.Model + u.Service, layers(u.Layers), u.State,
+			u.Load.Queued, u.Load.Running, u.Load.Sequences, u.Revision}
+	}
+	return p.table("INSTANCE DOMAIN KIND SERVES LAYERS STATE QUEUED RUNNING SEQUENCES REVISION", rows)
+}
+
+func (p *printer) teams(teams []adminapi.TeamStatus) error {
+	rows := make([][]any, len(teams))
+	for i, t := range teams {
+		rows[i] = []any{t.Team, t.Entry, t.Weight, t.InFlight, t.QueuedTokens, fmt.Sprintf("%.1f", t.TokensPerSecond), t.Admitted, t.Refused}
+	}
+	return p.table("TEAM ENTRY WEIGHT IN-FLIGHT QUEUED TOKENS/S ADMITTED REFUSED", rows)
+}
+
+func (p *printer) explanation(e adminapi.Explanation) error {
+	_, err := fmt.Fprintf(p.w, "request %s of team %s, profile %s: %s\nchosen because: %s\n\n", e.RequestID, e.Team, e.Profile, e.Outcome, e.Reason)
+	if err != nil {
+		return err
+	}
+	var candidates, stages, attempts [][]any
+	for _, c := range e.Candidates {
+		candidates = append(candidates, []any{strings.Join(c.Groups, ">"), fmt.Sprintf("%.2f", c.CostMillis), c.Rejected})
+	}
+	for _, s := range e.Chosen {
+		stages = append(stages, []any{s.Instance, layers(s.Layers), s.Reason})
+	}
+	for _, a := range e.Attempts {
+		attempts = append(attempts, []any{a.Number, fmt.Sprintf("%.1f", a.OffsetMillis), a.Replaced, a.Replacement, a.Reason})
+	}
+	for _, section := range []struct {
+		header string
+		rows   [][]any
+	}{
+		{"CANDIDATE COST-MS REJECTED", candidates},
+		{"STAGE LAYERS REASON", stages},
+		{"ATTEMPT OFFSET-MS REPLACED REPLACEMENT REASON", attempts},
+	} {
+		if err := p.table(section.header, section.rows); err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintln(p.w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func layers(r pipeline.LayerRange) string {
+	if r.Len() == 0 {
+		return ""
+	}
+	return r.String()
+}
+
+func stamp(t time.Time) string { return t.UTC().Format(time.RFC3339) }
