Serve the operators' API from the entry

Cause: nutmegctl had no process to talk to, and TestLostAnswer failed once in about 10 runs. Change: the entry implements status, teams, drain and explain, accepts changes through the full store and exchanges the teams' load with the other entries. The test reused a kept connection to a closed server, for which "unknown" is the right answer; it now takes a new client, and still requires "unavailable".

--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -180,7 +180,9 @@
 		assert.Equal(t, e.Code, CodeUnknownOutcome)
 		assert.Equal(t, e.ChangeID, "c1")
 		server.Close()
-		_, err = c.Propose(context.Background(), proposal("c1", 0, `{}`))
+		// A new client, because a kept connection may accept the request before
+		// the client learns that the server closed it.
+		_, err = NewClient(server.URL, "k").Propose(context.Background(), proposal("c1", 0, `{}`))
 		assert.ErrorIs(t, err, ErrUnavailable)
 	}
 }
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -155,7 +155,7 @@
 	for i, e := range d.Entries {
 		fmt.Fprintf(out, "entry %d       http://%s\n", i, e.CallerAddress())
 	}
-	fmt.Fprintf(out, "platform      %s\n", d.PlatformURL)
+	fmt.Fprintf(out, "operators     http://%s  key %s\nplatform      %s\n", d.Entries[0].AdminAddress(), OperatorKey, d.PlatformURL)
 	fmt.Fprintf(out, "team large    %s\nteam small    %s\n\n", LargeTeamKey, SmallTeamKey)
 	address := d.Entries[0].CallerAddress()
 	fmt.Fprintf(out, "Try:\n\n")
--- /dev/null
+++ b/internal/entry/admin.go
@@ -0,0 +1,264 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/adminapi"
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/planner"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+// allEntries stands in the entry column of rows that hold the sidecars' sums.
+const allEntries = "all"
+
+// entryBoard holds the teams' load as the other entries report it.
+type entryBoard struct {
+	mu   sync.Mutex
+	byID map[string][]peer.TeamLoad
+}
+
+func newEntryBoard() *entryBoard { return &entryBoard{byID: make(map[string][]peer.TeamLoad)} }
+
+// install takes a report; reports of sidecars are ignored.
+func (b *entryBoard) install(h peer.Hello, f *peer.Heartbeat) {
+	if h.Role != peer.RoleEntry {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.byID[h.ID] = f.Teams
+}
+
+func (b *entryBoard) remove(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.byID, id)
+}
+
+// each calls f for every team load of every other entry.
+func (b *entryBoard) each(f func(entry string, load peer.TeamLoad)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, loads := range b.byID {
+		for _, load := range loads {
+			f(id, load)
+		}
+	}
+}
+
+// beginWork counts a request that was admitted.
+func (e *Entry) beginWork(name string) {
+	now := time.Now()
+	e.usage.Admit(now, name)
+	e.usage.Begin(now, name)
+}
+
+// ownLoads returns the load of every team at this entry.
+func (e *Entry) ownLoads() []peer.TeamLoad {
+	var loads []peer.TeamLoad
+	for _, u := range e.usage.Report(time.Now()) {
+		loads = append(loads, peer.TeamLoad{
+			Team: u.Team, InFlight: u.InFlight, TokensPerSecond: u.TokensPerSecond,
+			Admitted: u.Admitted, Refused: u.Refused,
+		})
+	}
+	return loads
+}
+
+// heartbeatLoop tells the other entries the teams' load until ctx ends.
+func (e *Entry) heartbeatLoop(ctx context.Context) {
+	ticker := time.NewTicker(e.options.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		loads := e.ownLoads()
+		e.own.Store(&loads)
+		e.node.Broadcast(&peer.Heartbeat{Teams: loads}, peer.RoleEntry)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// adminHandler returns the operators' API.
+func (e *Entry) adminHandler() (http.Handler, error) {
+	var operators []adminapi.Operator
+	for name, hash := range e.options.Operators {
+		operators = append(operators, adminapi.Operator{Name: name, KeyHash: hash})
+	}
+	return adminapi.NewHandler(operators, e, e)
+}
+
+// State implements adminapi.Configuration.
+func (e *Entry) State() *config.State { return e.store.State() }
+
+// Audit implements adminapi.Configuration.
+func (e *Entry) Audit(ctx context.Context, after config.Revision, limit int) ([]config.Change, error) {
+	return e.store.Audit(ctx, after, limit)
+}
+
+// History implements adminapi.Configuration.
+func (e *Entry) History(ctx context.Context, kind config.Kind, name string, limit int) ([]config.Change, error) {
+	return e.store.History(ctx, kind, name, limit)
+}
+
+// Accept implements adminapi.Configuration and logs the result.
+func (e *Entry) Accept(ctx context.Context, p config.Proposal) (config.Change, error) {
+	change, err := e.store.Accept(ctx, p)
+	event := events.ChangeAccepted
+	var conflict *config.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		event = events.ChangeConflict
+	case errors.Is(err, config.ErrUnknownOutcome):
+		event = events.ChangeUnknown
+	case err != nil:
+		return change, err
+	}
+	e.options.Log.Log(event).Str("change", p.ID).Str("author", p.Author).Str("kind", string(p.Kind)).
+		Str("object", p.Name).Uint64("revision", uint64(change.Revision)).Err(err).Send()
+	return change, err
+}
+
+// reportStore logs the beginning and the end of an outage of the store.
+func (e *Entry) reportStore(err error) {
+	down := err != nil
+	if e.storeDown.Swap(down) == down {
+		return
+	}
+	if down {
+		e.options.Log.Log(events.StoreUnavailable).Err(err).Send()
+	} else {
+		e.options.Log.Log(events.StoreRecovered).Send()
+	}
+}
+
+// Status implements adminapi.Backend.
+func (e *Entry) Status(context.Context) (adminapi.Status, error) {
+	status := adminapi.Status{
+		Process: e.node.Process(), Role: string(peer.RoleEntry), Instance: e.options.ID,
+		FailureDomain: e.options.FailureDomain, Revision: e.replica.Revision(), Ready: true,
+	}
+	if err := e.Ready(); err != nil {
+		status.Ready = false
+		status.NotReadyReason = err.Error()
+	}
+	for _, u := range e.directory.All() {
+		s := u.Status()
+		status.Upstreams = append(status.Upstreams, adminapi.UpstreamStatus{
+			Instance: u.ID, FailureDomain: u.Domain, Kind: u.Descriptor.Kind,
+			Model: u.Descriptor.Model, Service: u.Descriptor.Service, Layers: u.Descriptor.Layers,
+			State: s.State, Load: s.Load, Revision: config.Revision(s.Revision),
+		})
+	}
+	return status, nil
+}
+
+// Teams implements adminapi.Backend. The rows of an entry hold its requests in
+// flight; the rows of "all" hold the queues and rates of all sidecars.
+func (e *Entry) Teams(context.Context) ([]adminapi.TeamStatus, error) {
+	var rows []adminapi.TeamStatus
+	add := func(entry string, l peer.TeamLoad) {
+		t, _ := e.replica.State().Team(l.Team)
+		rows = append(rows, adminapi.TeamStatus{
+			Team: l.Team, Entry: entry, Weight: t.Weight, InFlight: l.InFlight, QueuedTokens: l.QueuedTokens,
+			TokensPerSecond: l.TokensPerSecond, Admitted: l.Admitted, Refused: l.Refused,
+		})
+	}
+	if own := e.own.Load(); own != nil {
+		for _, l := range *own {
+			add(e.options.ID, l)
+		}
+	}
+	e.peers.each(add)
+	for _, l := range e.loads.teams() {
+		add(allEntries, l)
+	}
+	slices.SortFunc(rows, func(a, b adminapi.TeamStatus) int {
+		return strings.Compare(a.Team+"\x00"+a.Entry, b.Team+"\x00"+b.Entry)
+	})
+	return rows, nil
+}
+
+// Drain implements adminapi.Backend.
+func (e *Entry) Drain(_ context.Context, instance upstream.InstanceID, operator string) error {
+	u, ok := e.directory.Get(instance)
+	if !ok {
+		return fmt.Errorf("%w: instance %s", adminapi.ErrNotFound, instance)
+	}
+	conn := e.node.Connection(u.Address)
+	if conn == nil {
+		return fmt.Errorf("%w: no connection to instance %s", adminapi.ErrUnavailable, instance)
+	}
+	if err := conn.Send(&peer.Drain{Reason: "operator " + operator}); err != nil {
+		return fmt.Errorf("%w: %w", adminapi.ErrUnavailable, err)
+	}
+	e.options.Log.Log(events.UpstreamLeaving).Str("upstream", string(instance)).Str("operator", operator).Send()
+	return nil
+}
+
+// Explain implements adminapi.Backend.
+func (e *Entry) Explain(_ context.Context, id request.ID) (adminapi.Explanation, error) {
+	t, ok := e.traces.get(id)
+	if !ok {
+		return adminapi.Explanation{}, fmt.Errorf("%w: request %s", adminapi.ErrNotFound, id)
+	}
+	return t.explain(), nil
+}
+
+// explain turns a trace into what the operators' API shows.
+func (t *trace) explain() adminapi.Explanation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := adminapi.Explanation{RequestID: t.id, Team: t.team, Profile: t.profile, Outcome: t.outcome}
+	for i, c := range t.decision.Candidates {
+		x.Candidates = append(x.Candidates, explainCandidate(c, i == t.decision.Chosen))
+		if i == t.decision.Chosen {
+			x.Reason = string(c.Reason)
+		}
+	}
+	for i, s := range t.decision.Chain.Stages {
+		stage := adminapi.Stage{Instance: s.ID, Layers: s.Layers}
+		if i < len(t.decision.Picks) {
+			stage.Reason = explainPick(t.decision.Picks[i])
+		}
+		x.Chosen = append(x.Chosen, stage)
+	}
+	for _, ev := range t.events {
+		x.Attempts = append(x.Attempts, adminapi.Attempt{
+			Number: ev.attempt, OffsetMillis: float64(ev.at.Microseconds()) / 1000,
+			Reason: ev.kind + ": " + ev.detail, Replaced: ev.replaced, Replacement: ev.replacement,
+		})
+	}
+	return x
+}
+
+func explainCandidate(c planner.Candidate, chosen bool) adminapi.ChainCandidate {
+	out := adminapi.ChainCandidate{CostMillis: float64(c.Cost.Microseconds()) / 1000}
+	for _, g := range c.Groups {
+		out.Groups = append(out.Groups, g.String())
+	}
+	if !chosen {
+		out.Rejected = string(c.Reason)
+	}
+	return out
+}
+
+func explainPick(p planner.Pick) string {
+	if p.Other == "" {
+		return string(p.Reason)
+	}
+	return fmt.Sprintf("%s: %v against %v on %s", p.Reason, p.Cost, p.OtherCost, p.Other)
+}
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -126,6 +126,8 @@
 	defer cancel()
 	e.openCalls.Add(1)
 	defer e.openCalls.Add(-1)
+	e.beginWork(r.Team)
+	defer e.usage.End(time.Now(), r.Team)
 	result := c.run(ctx)
 	c.trace.end(result.Outcome)
 	e.meters.requestEnded("service", r.Team, result.Outcome)
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -37,11 +37,14 @@
 	e.sequences.add(s)
 	defer e.sequences.remove(s.id)
 	if refusal := e.admit(s); refusal != nil {
+		e.usage.Refuse(time.Now(), s.team)
 		s.trace.add(0, traceRefused, refusal.Err.Message)
 		s.trace.end(refusal.Outcome)
 		e.meters.requestEnded("chat", s.team, refusal.Outcome)
 		return callerapi.ChatResult{Result: *refusal}
 	}
+	e.beginWork(s.team)
+	defer e.usage.End(time.Now(), s.team)
 	err := s.run(ctx, func(p request.Piece) error {
 		if p.Text == "" {
 			return nil // the end of an answer carries no text
@@ -49,6 +52,7 @@
 		return token(p.Text)
 	})
 	result := s.result(err)
+	e.usage.Serve(time.Now(), s.team, len(s.tokens))
 	s.trace.end(result.Outcome)
 	e.meters.requestEnded("chat", s.team, result.Outcome)
 	if result.Outcome != request.OutcomeCompleted && ctx.Err() == nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
 	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
+	"github.com/nutmegroute/nutmegroute/internal/team"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -119,6 +120,7 @@
 	node           *peer.Node
 	peerListener   net.Listener
 	callerListener net.Listener
+	adminListener  net.Listener
 	directory      *upstream.Directory
 	membership     *membership
 	replica        *config.Replica
@@ -127,22 +129,27 @@
 	orderer        *orderer
 	sync           *configsync.Syncer
 	loads          *loadBoard
+	peers          *entryBoard
 	admissions     *admissions
 	planner        *planner.Planner
 	chooser        chooser
 	sequences      *sequenceTable
 	calls          *callTable
 	openCalls      atomic.Int64
-	traces         *traces
-	meters         *meters
-	leaving        atomic.Bool
-	closing        atomic.Bool
+	usage          *team.Counters
+	// own is the latest report of the teams' load at this entry.
+	own       atomic.Pointer[[]peer.TeamLoad]
+	storeDown atomic.Bool
+	traces    *traces
+	meters    *meters
+	leaving   atomic.Bool
+	closing   atomic.Bool
 }
 
 // New listens on the entry's addresses. It returns a listener's error.
 func New(options Options) (*Entry, error) {
 	options = options.withDefaults()
-	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable(), calls: newCallTable(), traces: newTraces(), meters: newMeters(options.Scope)}
+	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable(), calls: newCallTable(), traces: newTraces(), meters: newMeters(options.Scope), usage: team.NewCounters(time.Now())}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -153,13 +160,14 @@
 	})
 	e.directory = upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter})
 	e.loads = newLoadBoard()
+	e.peers = newEntryBoard()
 	e.admissions = newAdmissions(e.loads, e.replica)
 	e.planner = planner.New(planner.Config{Domain: options.FailureDomain}, e.directory)
 	e.chooser = plannedChooser{e.planner}
 	if options.RoundRobin {
 		e.chooser = &roundRobin{directory: e.directory}
 	}
-	e.store = config.NewStore(options.Platform, config.StoreOptions{})
+	e.store = config.NewStore(options.Platform, e.replica, time.Now, e.reportStore)
 	e.canceller = operation.NewCanceller(objectstore.NewRecords(options.Platform), operation.Options{})
 	e.orderer = newOrderer(e, objectstore.NewLeases(options.Platform))
 	e.sync = configsync.New(e.node, e.replica, func(err error) {
@@ -178,6 +186,13 @@
 		_ = e.peerListener.Close()
 		return err
 	}
+	if e.options.AdminListen != "" {
+		if e.adminListener, err = net.Listen("tcp", e.options.AdminListen); err != nil {
+			_ = e.peerListener.Close()
+			_ = e.callerListener.Close()
+			return err
+		}
+	}
 	if e.options.Advertise == "" {
 		e.options.Advertise = e.peerListener.Addr().String()
 	}
@@ -187,6 +202,15 @@
 // CallerAddress returns the address of the callers' API.
 func (e *Entry) CallerAddress() string { return e.callerListener.Addr().String() }
 
+// AdminAddress returns the address of the operators' API, or "" if there is
+// none.
+func (e *Entry) AdminAddress() string {
+	if e.adminListener == nil {
+		return ""
+	}
+	return e.adminListener.Addr().String()
+}
+
 // PeerAddress returns the address that peers are told.
 func (e *Entry) PeerAddress() string { return e.options.Advertise }
 
@@ -205,21 +229,32 @@
 		return err
 	}
 
+	admin, err := e.adminHandler()
+	if err != nil {
+		return err
+	}
+	adminServer := &http.Server{Handler: admin, ReadHeaderTimeout: headerTimeout}
+
 	var g errgroup.Group
+	if e.adminListener != nil {
+		g.Go(func() error { return serve(adminServer, e.adminListener) })
+	}
 	g.Go(func() error { return serve(peerServer, e.peerListener) })
 	g.Go(func() error { return serve(callerServer, e.callerListener) })
 	g.Go(func() error { e.membership.Run(work); return nil })
 	g.Go(func() error { e.sync.Run(work); return nil })
 	g.Go(func() error { e.planLoop(work); return nil })
 	g.Go(func() error { e.orderer.Run(work); return nil })
+	g.Go(func() error { e.heartbeatLoop(work); return nil })
 	g.Go(func() error { e.admissions.Run(work, e.options.HeartbeatInterval); return nil })
-	g.Go(func() error { return ignoreCanceled(e.store.Follow(work, e.replica)) })
+	g.Go(func() error { return ignoreCanceled(e.store.Follow(work)) })
 
 	<-ctx.Done()
 	e.drain(callerServer)
 	stopWork()
 	e.node.Close()
 	_ = peerServer.Close()
+	_ = adminServer.Close()
 	return g.Wait()
 }
 
@@ -320,6 +355,7 @@
 	logDisconnected(e.options.Log, c, err)
 	e.membership.disconnected(c)
 	e.loads.remove(upstream.InstanceID(c.Hello().ID))
+	e.peers.remove(c.Hello().ID)
 	e.sync.Disconnected(c)
 	e.sequences.lost(c)
 	e.calls.lost(c)
@@ -329,6 +365,7 @@
 func (e *Entry) HandleFrame(c *peer.Conn, f peer.Frame) {
 	switch f := f.(type) {
 	case *peer.Heartbeat:
+		e.peers.install(c.Hello(), f)
 		e.membership.heartbeat(c, f)
 		if u, ok := e.directory.Get(upstream.InstanceID(c.Hello().ID)); ok {
 			e.loads.install(u.ID, u.Descriptor, f)
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -13,7 +13,6 @@
 
 // Kinds of trace events.
 const (
-	traceChosen   = "chain-chosen"
 	traceLost     = "stage-lost"
 	traceReplaced = "stage-replaced"
 	traceDispatch = "dispatched"
@@ -49,7 +48,9 @@
 
 // stageReplaced logs and counts the replacement of a stage.
 func (s *sequence) stageReplaced(lost, replacement upstream.InstanceID, reason string) {
-	s.trace.add(s.attempt, traceReplaced, string(lost)+" by "+string(replacement)+": "+reason)
+	s.trace.append(traceEvent{
+		attempt: s.attempt, kind: traceReplaced, detail: reason, replaced: lost, replacement: replacement,
+	})
 	s.meters.replaced.Inc(1)
 	s.log.Log(events.StageReplaced).Str("request", string(s.id)).Str("lost", string(lost)).
 		Str("replacement", string(replacement)).Str("reason", reason).Uint32("attempt", uint32(s.attempt)).Send()
--- a/internal/entry/trace.go
+++ b/internal/entry/trace.go
@@ -6,6 +6,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
 const (
@@ -21,6 +22,8 @@
 	attempt request.Attempt
 	kind    string
 	detail  string
+	// replaced and replacement are set for a replaced stage.
+	replaced, replacement upstream.InstanceID
 }
 
 // trace is what an operator can learn about one request.
@@ -30,20 +33,24 @@
 	profile string
 	started time.Time
 
-	mu         sync.Mutex
-	decision   planner.Decision
-	firstToken time.Duration
-	ended      time.Duration
-	outcome    request.Outcome
-	events     []traceEvent
+	mu       sync.Mutex
+	decision planner.Decision
+	ended    time.Duration
+	outcome  request.Outcome
+	events   []traceEvent
 }
 
 // add records one decision.
 func (t *trace) add(attempt request.Attempt, kind, detail string) {
+	t.append(traceEvent{attempt: attempt, kind: kind, detail: detail})
+}
+
+func (t *trace) append(e traceEvent) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.events) < maxTraceEvents {
-		t.events = append(t.events, traceEvent{time.Since(t.started), attempt, kind, detail})
+		e.at = time.Since(t.started)
+		t.events = append(t.events, e)
 	}
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -116,6 +116,9 @@
 	}
 }
 
+// Process returns the random id of this process.
+func (n *Node) Process() string { return n.process }
+
 // UpdateHello changes what later connections are told.
 func (n *Node) UpdateHello(change func(*Hello)) {
 	n.mu.Lock()
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -95,7 +95,7 @@
 	running int
 	wakeup  chan struct{}
 
-	served     *teamCounters
+	served     *team.Counters
 	stepMicros atomic.Int64
 	cancels    chan string
 }
@@ -110,7 +110,7 @@
 		queue:   team.NewFairQueue[*work](team.QueueLimits{}),
 		waiting: make(map[request.ID]*work),
 		wakeup:  make(chan struct{}, 1),
-		served:  newTeamCounters(),
+		served:  team.NewCounters(time.Now()),
 		cancels: make(chan string, cancelBacklog),
 	}
 	s.desc.Store(&desc)
@@ -137,14 +137,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fullFor(open.Team, open.PromptTokens) {
-		s.served.refuse(open.Team)
+		s.served.Refuse(time.Now(), open.Team)
 		return peer.RefusedQueueFull
 	}
 	if s.estimatedWait() > time.Duration(open.DeadlineMillis)*time.Millisecond {
-		s.served.refuse(open.Team)
+		s.served.Refuse(time.Now(), open.Team)
 		return peer.RefusedDeadline
 	}
-	s.served.admit(open.Team)
+	s.served.Admit(time.Now(), open.Team)
 	return ""
 }
 
@@ -269,7 +269,7 @@
 			return
 		}
 	}
-	s.served.serve(w.team, w.cost)
+	s.served.Serve(time.Now(), w.team, w.cost)
 	s.finished(w, results)
 }
 
@@ -343,5 +343,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := upstream.Load{Queued: s.queue.Cost(), Running: s.running, StepMicros: s.stepMicros.Load()}
-	return load, s.served.report(s.queue.TeamCosts(), time.Now())
+	queued := s.queue.TeamCosts()
+	var teams []peer.TeamLoad
+	for _, u := range s.served.Report(time.Now()) {
+		teams = append(teams, peer.TeamLoad{
+			Team: u.Team, QueuedTokens: queued[u.Team], TokensPerSecond: u.TokensPerSecond,
+			Admitted: u.Admitted, Refused: u.Refused,
+		})
+	}
+	return load, teams
 }
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -227,6 +227,7 @@
 	options.FailureDomain = d.domain(i)
 	options.PeerListen = loopback
 	options.CallerListen = callerListen
+	options.AdminListen = loopback
 	options.Secret = peerSecret
 	options.Platform = d.Client
 	options.Log = d.options.Log
@@ -255,9 +256,9 @@
 	return p
 }
 
-// Apply accepts a configuration change through the platform's store.
+// Apply accepts a configuration change through the first entry.
 func (d *Deployment) Apply(ctx context.Context, p config.Proposal) error {
-	_, err := config.NewStore(d.Client, config.StoreOptions{}).Accept(ctx, p)
+	_, err := d.Entries[0].Accept(ctx, p)
 	return err
 }
 
