Count own work only once in load estimates

Cause: a sidecar's report includes the entry's own work, which the estimate added again, and reports kept most of their weight for 250 ms although a queue of 20 ms steps changes much faster. Change: a status keeps the reported load beyond the entry's own work at the time of the report, and LoadDecay falls from 500 ms to 200 ms. Directory.Pools lists the ready members for the ejector.

--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -208,7 +208,7 @@
 		return nil, Pick{}
 	}
 	if prefix != 0 {
-		mean := g.MeanReported()
+		mean := g.MeanOthers()
 		bound := math.Ceil(LoadBound * (g.MeanLoad() + 1/float64(n)))
 		u := members.Preferred(prefix, func(u *upstream.Upstream) bool {
 			return !exclude.upstream(u.ID) && u.EstimatedLoad(now, mean)+1 <= bound
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -125,6 +125,7 @@
 	if u.drained {
 		next.State = StateLeaving
 	}
+	next.Others = others(hb.Load, u.InFlight())
 	next.Load, next.ReportedAt, next.LastHeartbeat = hb.Load, now, now
 	next.LinkDelay = cmp.Or(hb.LinkDelay, old.LinkDelay)
 	next.Revision = max(old.Revision, hb.Revision)
@@ -232,6 +233,26 @@
 // Generation increases whenever the set of usable upstreams changes.
 func (d *Directory) Generation() uint64 { return d.generation.Load() }
 
+// Pools returns the ready upstreams of each group by the group's name, ejected
+// or not, for Ejector.SetPool. A group without a ready upstream has an empty
+// pool. It is O(n) and meant for background work.
+func (d *Directory) Pools() map[string][]InstanceID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pools := make(map[string][]InstanceID, len(d.groups))
+	for _, g := range d.groups {
+		ready := []InstanceID{}
+		for id, u := range g.known {
+			if u.Status().State == StateReady {
+				ready = append(ready, id)
+			}
+		}
+		slices.Sort(ready)
+		pools[g.Name] = ready
+	}
+	return pools
+}
+
 // All returns every upstream in order of instance id.
 func (d *Directory) All() []*Upstream {
 	var all []*Upstream
@@ -258,7 +279,7 @@
 		u.group.rebuild()
 		d.generation.Add(1)
 	case next.Usable():
-		u.group.update(old.Load, next.Load)
+		u.group.update(old, next)
 	}
 	return Transition{Upstream: u, From: old.State, To: next.State}
 }
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -60,18 +60,20 @@
 // Group is a set of upstreams that can replace each other. Reads are safe for
 // concurrent use and take no lock.
 type Group struct {
-	Key     GroupKey
+	Key GroupKey
+	// Name is Key.String(); it names the group's pool in an Ejector.
+	Name    string
 	members atomic.Pointer[Members]
 	// The sums cover the usable members. inFlight may be off by the work that
 	// starts or ends during a change of membership; Sweep counts it anew.
-	inFlight, reported, stepMicros, steps, batch atomic.Int64
+	inFlight, others, stepMicros, steps, batch atomic.Int64
 	// known holds every member, usable or not. Guarded by the directory's
 	// mutex.
 	known map[InstanceID]*Upstream
 }
 
 func newGroup(key GroupKey) *Group {
-	g := &Group{Key: key, known: make(map[InstanceID]*Upstream)}
+	g := &Group{Key: key, Name: key.String(), known: make(map[InstanceID]*Upstream)}
 	g.members.Store(newMembers(nil))
 	return g
 }
@@ -82,14 +84,14 @@
 // Usable returns the number of usable members.
 func (g *Group) Usable() int { return len(g.members.Load().List) }
 
-// MeanReported returns the mean reported load of a usable member in tokens.
-func (g *Group) MeanReported() float64 {
-	return float64(g.reported.Load()) / float64(max(g.Usable(), 1))
+// MeanOthers returns the mean of the usable members' Status.Others.
+func (g *Group) MeanOthers() float64 {
+	return float64(g.others.Load()) / float64(max(g.Usable(), 1))
 }
 
-// MeanLoad returns the mean of own work in flight plus reported load.
+// MeanLoad returns the mean of own work in flight plus the others' load.
 func (g *Group) MeanLoad() float64 {
-	return float64(max(g.inFlight.Load(), 0)+g.reported.Load()) / float64(max(g.Usable(), 1))
+	return float64(max(g.inFlight.Load(), 0)+g.others.Load()) / float64(max(g.Usable(), 1))
 }
 
 // MeanStep returns the mean step time, or DefaultStep if none is reported.
@@ -119,7 +121,7 @@
 		step = g.MeanStep()
 	}
 	batch := float64(max(u.Descriptor.MaxBatch, DefaultBatch))
-	return step + time.Duration(float64(step)*u.EstimatedLoad(now, g.MeanReported())/batch)
+	return step + time.Duration(float64(step)*u.EstimatedLoad(now, g.MeanOthers())/batch)
 }
 
 // rebuild recomputes the usable members. The directory's mutex must be held.
@@ -140,7 +142,7 @@
 	for _, u := range g.members.Load().List {
 		l := u.Status().Load
 		inFlight += u.inFlight.Load()
-		load += reported(l)
+		load += u.Status().Others
 		batch += int64(max(u.Descriptor.MaxBatch, DefaultBatch))
 		if l.StepMicros > 0 {
 			micros += l.StepMicros
@@ -148,7 +150,7 @@
 		}
 	}
 	g.inFlight.Store(inFlight)
-	g.reported.Store(load)
+	g.others.Store(load)
 	g.stepMicros.Store(micros)
 	g.steps.Store(steps)
 	g.batch.Store(batch)
@@ -156,11 +158,12 @@
 
 // update replaces the report of one usable member in the sums. The directory's
 // mutex must be held.
-func (g *Group) update(old, next Load) {
-	g.reported.Add(reported(next) - reported(old))
-	g.stepMicros.Add(max(next.StepMicros, 0) - max(old.StepMicros, 0))
-	if (next.StepMicros > 0) != (old.StepMicros > 0) {
-		if next.StepMicros > 0 {
+func (g *Group) update(old, next *Status) {
+	was, is := max(old.Load.StepMicros, 0), max(next.Load.StepMicros, 0)
+	g.others.Add(next.Others - old.Others)
+	g.stepMicros.Add(is - was)
+	if (is > 0) != (was > 0) {
+		if is > 0 {
 			g.steps.Add(1)
 		} else {
 			g.steps.Add(-1)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -17,9 +17,10 @@
 	StateGone State = "gone"
 )
 
-// LoadDecay is the age at which a load report keeps 1/e of its influence. Two
-// heartbeat intervals: an older report says little about the current queue.
-const LoadDecay = 500 * time.Millisecond
+// LoadDecay is the age at which a load report keeps 1/e of its influence. It is
+// shorter than the heartbeat interval of 250 ms, because a queue of decode steps
+// changes within tens of milliseconds.
+const LoadDecay = 200 * time.Millisecond
 
 // Status is what is known about an upstream at one moment. It is immutable.
 type Status struct {
@@ -27,6 +28,10 @@
 	// Ejected is true while the upstream is ejected as an outlier.
 	Ejected bool
 	Load    Load
+	// Others is the part of Load, in tokens, that exceeds this process's own work
+	// in flight when the report arrived. Own work is known exactly and must not
+	// count twice.
+	Others int64
 	// ReportedAt is when Load arrived; zero if none has.
 	ReportedAt time.Time
 	// LastHeartbeat is when the last heartbeat or Hello arrived.
@@ -90,8 +95,8 @@
 // InFlight returns this process's own work in flight.
 func (u *Upstream) InFlight() int { return int(max(u.inFlight.Load(), 0)) }
 
-// EstimatedLoad returns own work in flight plus the reported load. The report
-// is discounted by its age towards mean, the mean reported load of the group,
+// EstimatedLoad returns own work in flight plus the reported load of others.
+// The report is discounted by its age towards mean, the group's MeanOthers,
 // because a discount towards 0 would draw work to the upstream that has been
 // silent longest.
 func (u *Upstream) EstimatedLoad(now time.Time, mean float64) float64 {
@@ -102,8 +107,9 @@
 	}
 	age := now.Sub(s.ReportedAt) + time.Duration(s.Load.AgeMillis)*time.Millisecond
 	keep := math.Exp(-float64(max(age, 0)) / float64(LoadDecay))
-	return load + keep*(float64(reported(s.Load))-mean)
+	return load + keep*(float64(s.Others)-mean)
 }
 
-// reported is the load of a report in tokens: one for each running step.
-func reported(l Load) int64 { return int64(l.Queued) + int64(l.Running) }
+// others returns the reported load, one token for each running step, that
+// exceeds own work in flight.
+func others(l Load, own int) int64 { return max(int64(l.Queued)+int64(l.Running)-int64(own), 0) }
