Add the options that the measurements need

Cause: the naive baseline needs sidecars with one queue in order of arrival, and the experiments need delayed links and the effect of coalescing; none of these could be switched on from outside a process. Change: sidecar.Options.FIFO puts all work into one team and class of the fair queue, which then serves in order of arrival. NoCoalescing of peer.Options is passed through entry and sidecar options. peer.Options.Dial replaces the dial function, and deployment.Options.Network sets it for every process, so that delays apply to each pair of failure domains. A TCP relay in front of each sidecar was ruled out: it does not know which process is on the other side. Revision and SentBytes of entries and sidecars are readable.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,6 +62,11 @@
 	// RoundRobin takes upstreams in turn. It is the baseline of the
 	// measurements. Default false.
 	RoundRobin bool
+	// NoCoalescing writes each frame between processes as a message of its
+	// own. It exists to measure what coalescing gains. Default false.
+	NoCoalescing bool
+	// Dial makes the connections to peers. Default net.Dialer.
+	Dial peer.DialFunc
 	// DrainDelay is the time during which a leaving entry still accepts
 	// requests. Default 2 s.
 	DrainDelay time.Duration
@@ -149,6 +154,7 @@
 		Role: peer.RoleEntry, ID: options.ID, Address: e.options.Advertise, FailureDomain: options.FailureDomain,
 	}, e, func() uint64 { return uint64(e.replica.Revision()) }, peer.Options{
 		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
+		NoCoalescing: options.NoCoalescing, Dial: options.Dial,
 	})
 	e.directory = upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter})
 	e.loads = newLoadBoard()
@@ -306,6 +312,12 @@
 	return n
 }
 
+// Revision returns the revision of the configuration in force.
+func (e *Entry) Revision() uint64 { return uint64(e.replica.Revision()) }
+
+// SentBytes returns the bytes of frames that were sent to peers.
+func (e *Entry) SentBytes() uint64 { return e.node.SentBytes() }
+
 // Connected implements peer.Handler.
 func (e *Entry) Connected(c *peer.Conn) {
 	logConnected(e.options.Log, c)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -59,10 +60,15 @@
 	// NoCoalescing writes each frame as a message of its own. It exists to
 	// measure what coalescing gains.
 	NoCoalescing bool
+	// Dial makes the TCP connections to peers. Default net.Dialer.
+	Dial DialFunc
 	// Now is the clock. Default time.Now.
 	Now func() time.Time
 }
 
+// DialFunc makes a connection to an address, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Node is this process's end of the peer protocol. It accepts connections
 // (ServeHTTP) and dials peers, at most one connection for each address.
 type Node struct {
@@ -103,7 +109,7 @@
 	}
 	hello.Version = ProtocolVersion
 	hello.Process = uuid.NewString()
-	transport := &http.Transport{TLSClientConfig: options.TLS}
+	transport := &http.Transport{TLSClientConfig: options.TLS, DialContext: options.Dial}
 	return &Node{
 		handler:  handler,
 		options:  options,
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -86,6 +86,8 @@
 	failed   func(*work, peer.FailureReason, string)
 	// engineFailed is called after a call that the engine did not answer.
 	engineFailed func()
+	// fifo serves all work in the order of arrival.
+	fifo bool
 
 	desc atomic.Pointer[upstream.Descriptor]
 
@@ -170,11 +172,16 @@
 
 // push queues a work item.
 func (s *scheduler) push(w *work) {
-	s.mu.Lock()
-	ticket, err := s.queue.Push(team.Item[*work]{
+	item := team.Item[*work]{
 		Team: w.team, Priority: w.priority, Continues: w.continues,
 		Cost: w.cost, Deadline: w.deadline, Value: w,
-	})
+	}
+	if s.fifo {
+		// Items of one team and class are served in the order of arrival.
+		item.Team, item.Priority, item.Continues = "", 0, false
+	}
+	s.mu.Lock()
+	ticket, err := s.queue.Push(item)
 	if err == nil {
 		w.ticket = ticket
 		s.waiting[w.request] = w
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -74,6 +74,14 @@
 	OutputLogBytes int
 	// DrainTimeout bounds a planned stop. Default 10 min.
 	DrainTimeout time.Duration
+	// FIFO serves steps in the order of arrival instead of the fair queue. It is
+	// the baseline of the measurements. Default false.
+	FIFO bool
+	// NoCoalescing writes each frame between processes as a message of its
+	// own. It exists to measure what coalescing gains. Default false.
+	NoCoalescing bool
+	// Dial makes the connections to peers. Default net.Dialer.
+	Dial peer.DialFunc
 
 	// Engine is set for an upstream that is a model engine.
 	Engine Engine
@@ -148,6 +156,7 @@
 		Role: peer.RoleSidecar, ID: options.ID, Address: options.Advertise, FailureDomain: options.FailureDomain,
 	}, s, func() uint64 { return uint64(s.replica.Revision()) }, peer.Options{
 		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
+		NoCoalescing: options.NoCoalescing, Dial: options.Dial,
 	})
 	s.sync = configsync.New(s.node, s.replica, func(err error) {
 		options.Log.Log(events.RevisionBehind).Err(err).Send()
@@ -158,6 +167,12 @@
 // Address returns the peer address that others are told.
 func (s *Sidecar) Address() string { return s.options.Advertise }
 
+// Revision returns the revision of the configuration in force.
+func (s *Sidecar) Revision() uint64 { return uint64(s.replica.Revision()) }
+
+// SentBytes returns the bytes of frames that were sent to peers.
+func (s *Sidecar) SentBytes() uint64 { return s.node.SentBytes() }
+
 // Run serves until ctx ends, then finishes what is in progress. It returns
 // nil after a graceful stop.
 func (s *Sidecar) Run(ctx context.Context) error {
@@ -261,6 +276,7 @@
 		return err
 	}, s.announce)
 	scheduler.engineFailed = health.ask
+	scheduler.fifo = s.options.FIFO
 	stage := newStage(s.node, scheduler, s.options.OutputLogBytes, time.Now)
 	stage.usable = health.usable
 	return &engineWorker{scheduler: scheduler, stage: stage, health: health}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -15,6 +15,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/entry"
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/pipeline"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
 	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
@@ -56,6 +57,16 @@
 	Entry   entry.Options
 	Sidecar sidecar.Options
 	Log     *events.Logger
+	// Network makes the connections between processes. Default plain TCP.
+	Network Network
+}
+
+// Network makes the connections between processes, for example with delays.
+type Network interface {
+	// Dialer returns the dial function of a process.
+	Dialer(id, domain string) peer.DialFunc
+	// Register names the process that listens on an address.
+	Register(address, id, domain string)
 }
 
 // ServiceOptions describe one plain service.
@@ -208,10 +219,16 @@
 func (d *Deployment) startSidecar(options sidecar.Options) (*sidecar.Sidecar, *Process, error) {
 	options.Listen = loopback
 	options.Secret = peerSecret
+	if n := d.options.Network; n != nil {
+		options.Dial = n.Dialer(options.ID, options.FailureDomain)
+	}
 	s, err := sidecar.New(options)
 	if err != nil {
 		return nil, nil, fmt.Errorf("deployment: sidecar %s: %w", options.ID, err)
 	}
+	if n := d.options.Network; n != nil {
+		n.Register(s.Address(), options.ID, options.FailureDomain)
+	}
 	p := d.run(options.ID, s.Run)
 	d.Platform.RegisterInstance(platform.Instance{
 		ID: options.ID, Role: platform.RoleUpstream, Address: s.Address(),
@@ -229,10 +246,16 @@
 	options.Secret = peerSecret
 	options.Platform = d.Client
 	options.Log = d.options.Log
+	if n := d.options.Network; n != nil {
+		options.Dial = n.Dialer(options.ID, options.FailureDomain)
+	}
 	e, err := entry.New(options)
 	if err != nil {
 		return fmt.Errorf("deployment: %s: %w", options.ID, err)
 	}
+	if n := d.options.Network; n != nil {
+		n.Register(e.PeerAddress(), options.ID, options.FailureDomain)
+	}
 	d.Entries = append(d.Entries, e)
 	d.EntryProcs = append(d.EntryProcs, d.run(options.ID, e.Run))
 	d.Platform.RegisterInstance(platform.Instance{
