Eject outliers, limit retries and remove expired records

Change: entries feed step times and engine failures to the ejector; repeated dispatches of calls and the third and later replacement of one sequence draw on the team's retry budget with backoff. The first two replacements are free, because the loss of one upstream hits many sequences at once. One entry, under a lease, removes expired operation records.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -22,6 +23,9 @@
 	// redispatchPause is the wait before the upstreams of a service are tried
 	// again after all have been tried.
 	redispatchPause = 100 * time.Millisecond
+	// callRetryFraction is the share of a team's calls to plain services that
+	// may be dispatched again.
+	callRetryFraction = 0.2
 )
 
 // pendingCall waits for the answer to one dispatch.
@@ -93,6 +97,7 @@
 
 	attempt  request.Attempt
 	excluded map[upstream.InstanceID]bool
+	random   *rand.Rand
 	// uncertain is true once a dispatch ended without an answer, so that the
 	// call may have run or may still run.
 	uncertain bool
@@ -120,12 +125,14 @@
 		entry: e, request: r, op: op,
 		deadline: time.Now().Add(time.Duration(op.DeadlineMillis) * time.Millisecond),
 		excluded: make(map[upstream.InstanceID]bool),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		trace:    e.traces.start(r.ID, r.Team, r.Service+"/"+r.Operation),
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	e.openCalls.Add(1)
 	defer e.openCalls.Add(-1)
+	e.retries.Request(r.Team, callRetryFraction)
 	e.beginWork(r.Team)
 	defer e.usage.End(time.Now(), r.Team)
 	result := c.run(ctx)
@@ -146,8 +153,8 @@
 			continue
 		}
 		c.excluded[u.ID] = true
-		if c.attempt > 0 {
-			c.entry.meters.redispatched.Inc(1)
+		if c.attempt > 0 && !c.mayRetry(ctx) {
+			break
 		}
 		result := c.dispatch(ctx, u)
 		switch {
@@ -155,6 +162,9 @@
 			c.uncertain = true
 			c.trace.add(c.attempt, traceLost, string(u.ID)+": no answer")
 		case result.Refused != "":
+			if result.Refused == peer.RefusedUnavailable {
+				c.entry.outliers.failed(u)
+			}
 			c.refusal = "refused: " + string(result.Refused)
 			c.trace.add(c.attempt, traceRefused, string(u.ID)+": "+string(result.Refused))
 		case result.Outcome == request.OutcomeNotRun && c.uncertain:
@@ -168,6 +178,21 @@
 	return c.settle(ctx)
 }
 
+// mayRetry waits for the backoff of another dispatch. It returns false if the
+// team's retry budget is spent or the deadline comes first.
+func (c *call) mayRetry(ctx context.Context) bool {
+	delay, err := c.entry.retries.Retry(time.Now(), c.deadline, c.random, c.request.Team, int(c.attempt))
+	if err != nil {
+		c.refusal = err.Error()
+		c.trace.add(c.attempt, traceRefused, c.refusal)
+		logRetryBudget(c.entry.options.Log, c.request.Team, err)
+		return false
+	}
+	c.entry.meters.redispatched.Inc(1)
+	pause(ctx, delay)
+	return ctx.Err() == nil
+}
+
 // pause waits before all upstreams are tried again.
 func (c *call) pause(ctx context.Context) bool {
 	clear(c.excluded)
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -43,6 +43,7 @@
 		e.meters.requestEnded("chat", s.team, refusal.Outcome)
 		return callerapi.ChatResult{Result: *refusal}
 	}
+	e.retries.Request(s.team, p.RetryBudget)
 	e.beginWork(s.team)
 	defer e.usage.End(time.Now(), s.team)
 	err := s.run(ctx, func(p request.Piece) error {
@@ -86,6 +87,8 @@
 		firstToken: time.Duration(p.FirstTokenMillis) * time.Millisecond,
 		deadline:   time.Now().Add(time.Duration(p.DeadlineMillis) * time.Millisecond),
 		noResume:   p.NoResume,
+		retries:    e.retries,
+		outliers:   e.outliers,
 		star:       e.options.Star,
 		trace:      e.traces.start(r.ID, r.Team, r.Profile),
 		meters:     e.meters,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,6 +134,8 @@
 	orderer        *orderer
 	sync           *configsync.Syncer
 	loads          *loadBoard
+	outliers       *outliers
+	retries        *team.RetryBudget
 	peers          *entryBoard
 	admissions     *admissions
 	planner        *planner.Planner
@@ -165,6 +167,8 @@
 		NoCoalescing: options.NoCoalescing, Dial: options.Dial,
 	})
 	e.directory = upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter})
+	e.outliers = newOutliers(e.directory, options.Log)
+	e.retries = team.NewRetryBudget()
 	e.loads = newLoadBoard()
 	e.peers = newEntryBoard()
 	e.admissions = newAdmissions(e.loads, e.replica)
@@ -251,6 +255,10 @@
 	g.Go(func() error { e.sync.Run(work); return nil })
 	g.Go(func() error { e.planLoop(work); return nil })
 	g.Go(func() error { e.orderer.Run(work); return nil })
+	g.Go(func() error { e.outliers.Run(work); return nil })
+	g.Go(func() error {
+		return e.sweepRecords(work, objectstore.NewLeases(e.options.Platform), objectstore.NewRecords(e.options.Platform))
+	})
 	g.Go(func() error { e.heartbeatLoop(work); return nil })
 	g.Go(func() error { e.admissions.Run(work, e.options.HeartbeatInterval); return nil })
 	g.Go(func() error { return ignoreCanceled(e.store.Follow(work)) })
@@ -381,6 +389,7 @@
 		e.membership.heartbeat(c, f)
 		if u, ok := e.directory.Get(upstream.InstanceID(c.Hello().ID)); ok {
 			e.loads.install(u.ID, u.Descriptor, f)
+			e.outliers.observe(u, f.Load)
 		}
 	case *peer.SequenceOpened:
 		e.sequences.deliver(c, f.Request, f)
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -8,6 +9,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/team"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -71,6 +73,13 @@
 	}
 }
 
+// logRetryBudget reports a retry that was not made.
+func logRetryBudget(log *events.Logger, name string, err error) {
+	if errors.Is(err, team.ErrRetryBudget) {
+		log.Log(events.RetryBudgetSpent).Str("team", name).Send()
+	}
+}
+
 // logConnected and logDisconnected report the connections to peers.
 func logConnected(log *events.Logger, c *peer.Conn) {
 	log.Log(events.PeerConnected).Str("peer", c.Hello().ID).Str("address", c.Hello().Address).Send()
--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -14,6 +14,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/team"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -29,6 +30,9 @@
 	// rebindPause is the wait before a chain is tried again when no other
 	// upstream is left.
 	rebindPause = 100 * time.Millisecond
+	// freeReplacements is the number of times that lost stages are replaced
+	// without drawing on the team's retry budget.
+	freeReplacements = 2
 	// chainRetry is the wait before a chain is looked for again.
 	chainRetry = 20 * time.Millisecond
 )
@@ -80,6 +84,8 @@
 	ended      bool
 
 	usedPromptTokens int
+	retries          *team.RetryBudget
+	outliers         *outliers
 	trace            *trace
 	meters           *meters
 	log              *events.Logger
@@ -433,6 +439,9 @@
 	case peer.FailedDeadline:
 		return errExpired
 	}
+	if f.Reason == peer.FailedEngine {
+		s.outliers.failed(s.stages[i].Upstream)
+	}
 	if j := s.blame(i, f); j >= 0 {
 		lost[j] = string(f.Reason) + ": " + f.Detail
 	}
@@ -484,7 +493,7 @@
 		}
 	}
 	stages := make([]binding, 0, len(s.stages))
-	pause := false
+	exhausted := false
 	for i, b := range s.stages {
 		if _, bad := lost[i]; !bad {
 			stages = append(stages, b)
@@ -492,7 +501,7 @@
 		}
 		replacements, err := s.chooser.replace(s.random, s.chain, i, s.planRequest())
 		if err != nil {
-			pause = true
+			exhausted = true
 			stages = append(stages, binding{Stage: b.Stage})
 			continue
 		}
@@ -508,10 +517,27 @@
 	for _, b := range stages {
 		s.chain.Stages = append(s.chain.Stages, b.Stage)
 	}
-	if pause {
+	if exhausted {
 		return s.waitForUpstream(ctx)
 	}
-	return nil
+	return s.backOff(ctx)
+}
+
+// backOff delays and limits repeated replacements. The first freeReplacements
+// of a sequence are immediate and not counted, because the loss of one upstream
+// hits many sequences at once and each of their callers is waiting.
+func (s *sequence) backOff(ctx context.Context) error {
+	repeated := int(s.attempt) - freeReplacements
+	if repeated <= 0 {
+		return nil
+	}
+	delay, err := s.retries.Retry(time.Now(), s.deadline, s.random, s.team, repeated)
+	if err != nil {
+		logRetryBudget(s.log, s.team, err)
+		return fmt.Errorf("%w: %w", errStageLost, err)
+	}
+	pause(ctx, delay)
+	return ctx.Err()
 }
 
 // waitForUpstream pauses when every upstream that could take over has been
--- /dev/null
+++ b/internal/entry/sweep.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/lease"
+	"github.com/nutmegroute/nutmegroute/internal/operation"
+)
+
+const (
+	// sweepGroup names the lease of the entry that removes expired operation
+	// records. One sweeper is enough, and each would read every record.
+	sweepGroup = "operation-sweeper"
+	// sweepLeaseDuration is long, because a renewal costs a write and nobody
+	// waits for a successor.
+	sweepLeaseDuration = 10 * time.Minute
+	// recordSweepInterval is the pause between two passes.
+	recordSweepInterval = time.Hour
+)
+
+// sweepRecords removes expired operation records until ctx ends, while this
+// entry holds the lease. Two sweepers at once would be harmless: removal is
+// conditional on the version of an expired record.
+func (e *Entry) sweepRecords(ctx context.Context, leases lease.Store, records operation.SweepStore) error {
+	holder, err := lease.NewHolder(leases, sweepGroup, e.options.ID, lease.Options{Duration: sweepLeaseDuration})
+	if err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		holder.Run(ctx, func(error) {})
+	}()
+	defer func() { <-done }()
+	sweeper := operation.NewSweeper(records, operation.SweeperOptions{})
+	for {
+		pause(ctx, recordSweepInterval)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if _, err := holder.Check(time.Now()); err == nil {
+			_, _ = sweeper.Sweep(ctx)
+		}
+	}
+}
