Compare the admission level with the bisection model directly

Change: the test compares the level itself with the bisection model whenever the load exceeds the budget, and draws loads over a wider range. The check that a refused team is not below the level is replaced by this equality together with the one for admitted teams. The naive fair queue in the tests is shorter and checks the same.

--- a/internal/team/admission_test.go
+++ b/internal/team/admission_test.go
@@ -38,11 +38,17 @@
 			Fixed: time.Duration(rapid.IntRange(0, 100).Draw(t, "fixed")) * time.Millisecond}
 		total, weights := 0.0, 0.0
 		for i := range rapid.IntRange(1, 8).Draw(t, "teams") {
-			l := Load{fmt.Sprint(i), rapid.Float64Range(0.2, 5).Draw(t, "weight"), rapid.Float64Range(1, 2000).Draw(t, "tokens")}
+			l := Load{fmt.Sprint(i), rapid.Float64Range(0.2, 5).Draw(t, "weight"), math.Exp2(rapid.Float64Range(0, 11).Draw(t, "tokens"))}
 			s.Teams = append(s.Teams, l)
 			total, weights = total+l.Tokens, weights+l.Weight
 		}
 		d := Demand{Cost: 1, FirstToken: time.Duration(rapid.IntRange(1, 1000).Draw(t, "target")) * time.Millisecond, Remaining: 2 * time.Hour}
+		level := naiveLevel(s, d.FirstToken)
+		if total > s.TokensPerSecond*(d.FirstToken-s.Fixed).Seconds() {
+			a := NewAdmission()
+			a.Update(s)
+			assert.Assert(t, math.Abs(a.level(d.FirstToken)-level) <= 1e-6*(level+1), "%f, want %f", a.level(d.FirstToken), level)
+		}
 		lowestRefused, highestAdmitted := math.Inf(1), 0.0
 		for _, l := range s.Teams {
 			a := NewAdmission()
@@ -50,12 +56,11 @@
 			d.Team = l.Team
 			wait, err := a.Admit(d)
 			var refused *RefusedError
-			over := l.Tokens / l.Weight
 			if !errors.As(err, &refused) {
 				assert.NilError(t, err)
 				if wait > d.FirstToken && l.Tokens >= total*l.Weight/weights {
 					highestAdmitted = max(highestAdmitted, (l.Tokens+1)/l.Weight)
-					assert.Assert(t, (l.Tokens+1)/l.Weight <= naiveLevel(s, d.FirstToken)*(1+1e-6))
+					assert.Assert(t, (l.Tokens+1)/l.Weight <= level*(1+1e-6))
 				}
 				continue
 			}
@@ -63,10 +68,6 @@
 			assert.Assert(t, wait > d.FirstToken && refused.RetryAfter >= MinRetryAfter)
 			assert.Assert(t, l.Tokens >= total*l.Weight/weights*(1-1e-9), "below its share")
 			lowestRefused = min(lowestRefused, (l.Tokens+1)/l.Weight)
-			if total > s.TokensPerSecond*(d.FirstToken-s.Fixed).Seconds() {
-				level := naiveLevel(s, d.FirstToken)
-				assert.Assert(t, over+1/l.Weight >= level-1e-6*level, "%f under level %f", over, level)
-			}
 		}
 		assert.Assert(t, highestAdmitted <= lowestRefused)
 	})
--- a/internal/team/fairqueue_test.go
+++ b/internal/team/fairqueue_test.go
@@ -1,9 +1,11 @@
 package team
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,33 +52,28 @@
 
 func (n *naiveQueue) remove(i int) Item[int] {
 	it := n.items[i]
-	n.items = append(n.items[:i:i], n.items[i+1:]...)
+	n.items = slices.Delete(n.items, i, i+1)
 	if len(n.items) == 0 {
 		n.virtual = n.latest
 	}
 	return it
 }
 
-// next returns the index of the item to serve.
+// next returns the index of the item to serve; slices.MinFunc returns the first
+// of equal items.
 func (n *naiveQueue) next() int {
-	best := -1
-	for i, it := range n.items {
-		if best < 0 {
-			best = i
-			continue
+	best := slices.MinFunc(n.items, func(a, b Item[int]) int {
+		if a.Team == b.Team {
+			return cmp.Compare(b.class(), a.class())
 		}
-		b := n.items[best]
-		switch {
-		case it.Team == b.Team:
-			if it.class() > b.class() {
-				best = i
-			}
-		case n.tags[it.Team] < n.tags[b.Team],
-			n.tags[it.Team] == n.tags[b.Team] && n.turns[it.Team] < n.turns[b.Team]:
-			best = i
-		}
-	}
-	return best
+		return cmp.Or(cmp.Compare(n.tags[a.Team], n.tags[b.Team]), cmp.Compare(n.turns[a.Team], n.turns[b.Team]))
+	})
+	return n.find(best.Value)
+}
+
+// find returns the index of the item with the given value, or -1.
+func (n *naiveQueue) find(value int) int {
+	return slices.IndexFunc(n.items, func(it Item[int]) bool { return it.Value == value })
 }
 
 func (n *naiveQueue) pop() Item[int] {
@@ -126,12 +123,7 @@
 				run, expired := q.Pop(now, rapid.IntRange(1, 3).Draw(t, "max"))
 				for _, it := range expired {
 					assert.Assert(t, !now.Before(it.Deadline))
-					for i := range n.items {
-						if n.items[i].Value == it.Value {
-							n.remove(i)
-							break
-						}
-					}
+					n.remove(n.find(it.Value))
 				}
 				for _, it := range run {
 					assert.Assert(t, it.Deadline.IsZero() || now.Before(it.Deadline))
@@ -139,15 +131,11 @@
 				}
 			case "remove":
 				victim := rapid.IntRange(0, id).Draw(t, "victim")
-				removed := false
-				for i := range n.items {
-					if n.items[i].Value == victim {
-						n.remove(i)
-						removed = true
-						break
-					}
+				i := n.find(victim)
+				assert.Equal(t, q.Remove(tickets[victim]), i >= 0)
+				if i >= 0 {
+					n.remove(i)
 				}
-				assert.Equal(t, q.Remove(tickets[victim]), removed)
 			case "weight":
 				w := rapid.Float64Range(0.1, 20).Draw(t, "weight")
 				q.SetWeight(team, w)
