entry: Give every stage the whole round of the baseline

Cause: the round-robin baseline had one counter for all stages. A chain of three stages advanced it by three, so that with three replicas every request got the same replica of each stage and the baseline used a third of the engines. This made the comparison with it too favourable. Change: one counter for each first layer. sidecar.Options.StepwiseReplay is added beside it for the recovery experiment.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,13 +40,16 @@
 // upstreams of each layer range in turn, whatever their load or distance.
 type roundRobin struct {
 	directory *upstream.Directory
-	turn      atomic.Uint64
+	// turns holds a counter for each first layer. One counter for all of them
+	// would give every request the same upstreams if the stages divide the
+	// replicas.
+	turns sync.Map
 }
 
 func (c *roundRobin) chain(_ *rand.Rand, r planner.Request) (planner.Decision, error) {
 	chain := planner.Chain{Model: r.Model}
 	for next := 0; ; {
-		u := c.next(r, func(l pipeline.LayerRange) bool { return l.From == next })
+		u := c.next(r, next, func(l pipeline.LayerRange) bool { return l.From == next })
 		if u == nil {
 			return planner.Decision{}, planner.ErrNoChain
 		}
@@ -60,14 +64,15 @@
 
 func (c *roundRobin) replace(_ *rand.Rand, chain planner.Chain, index int, r planner.Request) ([]planner.Stage, error) {
 	r.Exclude.Upstreams = append(r.Exclude.Upstreams, chain.Stages[index].ID)
-	u := c.next(r, func(l pipeline.LayerRange) bool { return l == chain.Stages[index].Layers })
+	layers := chain.Stages[index].Layers
+	u := c.next(r, layers.From, func(l pipeline.LayerRange) bool { return l == layers })
 	if u == nil {
 		return nil, planner.ErrNoChain
 	}
 	return []planner.Stage{stageOf(u)}, nil
 }
 
-func (c *roundRobin) next(r planner.Request, fits func(pipeline.LayerRange) bool) *upstream.Upstream {
+func (c *roundRobin) next(r planner.Request, first int, fits func(pipeline.LayerRange) bool) *upstream.Upstream {
 	var usable []*upstream.Upstream
 	for _, u := range c.directory.All() {
 		if u.Descriptor.Model == r.Model && u.Status().Usable() && fits(u.Descriptor.Layers) && !excludes(r.Exclude, u.ID) {
@@ -77,7 +82,8 @@
 	if len(usable) == 0 {
 		return nil
 	}
-	return usable[c.turn.Add(1)%uint64(len(usable))]
+	turn, _ := c.turns.LoadOrStore(first, new(atomic.Uint64))
+	return usable[turn.(*atomic.Uint64).Add(1)%uint64(len(usable))]
 }
 
 func excludes(e planner.Exclude, id upstream.InstanceID) bool {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -77,6 +77,9 @@
 	// FIFO serves steps in the order of arrival instead of the fair queue. It is
 	// the baseline of the measurements. Default false.
 	FIFO bool
+	// StepwiseReplay runs the steps of a replayed log one by one instead of as
+	// one work item. It exists to measure what that gains. Default false.
+	StepwiseReplay bool
 	// NoCoalescing writes each frame between processes as a message of its
 	// own. It exists to measure what coalescing gains. Default false.
 	NoCoalescing bool
@@ -279,6 +282,7 @@
 	scheduler.fifo = s.options.FIFO
 	stage := newStage(s.node, scheduler, s.options.OutputLogBytes, time.Now)
 	stage.usable = health.usable
+	stage.stepwise = s.options.StepwiseReplay
 	return &engineWorker{scheduler: scheduler, stage: stage, health: health}
 }
 
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -47,6 +47,8 @@
 	now       func() time.Time
 	// usable reports whether the engine answers.
 	usable func() bool
+	// stepwise runs the steps of a replayed log one by one.
+	stepwise bool
 
 	mu        sync.Mutex
 	sequences map[request.ID]*sequence
@@ -193,7 +195,7 @@
 // scheduler. The caller holds s.mu.
 func (s *Stage) startStep(seq *sequence, step *peer.Step) {
 	steps := []*peer.Step{step}
-	for next, ok := seq.pending[step.Position+1]; ok; next, ok = seq.pending[next.Position+1] {
+	for next, ok := seq.pending[step.Position+1]; ok && !s.stepwise; next, ok = seq.pending[next.Position+1] {
 		delete(seq.pending, next.Position)
 		steps = append(steps, next)
 	}
