Plan again if members become unusable during a choice

Cause: a new test with concurrent requests, ejections and rebuilds found requests that ended with ErrNoChain although a chain existed: between the lookup of the plan and the pick, the members of every template had become unusable. Change: Choose and ReplaceStage then plan anew, at most 10 times, and give up at once if no path exists. Ruled out: a lock around lookup and pick, because the request path takes no global lock.

--- a/internal/planner/choose.go
+++ b/internal/planner/choose.go
@@ -117,6 +117,10 @@
 	return b.String()
 }
 
+// planAttempts bounds how often one request plans anew because the members of
+// every template it found became unusable before they were picked.
+const planAttempts = 10
+
 // Choose returns a chain for a request. It returns ErrUnknownModel or
 // ErrNoChain if there is none. Its time doesn't depend on the number of
 // upstreams but for prefix affinity, which is logarithmic in the group's size;
@@ -134,8 +138,16 @@
 	if d, ok := p.choose(now, rng, r, current.templates, reason); ok {
 		return d, nil
 	}
-	if !r.Exclude.empty() {
+	// The kept templates don't fit the exclusions, or their members became
+	// unusable after the plan was looked up.
+	for range planAttempts {
+		if len(current.templates) == 0 {
+			break
+		}
 		found := p.cheapest(r.Model, r.Domains, r.Exclude)
+		if len(found) == 0 {
+			break
+		}
 		if d, ok := p.choose(now, rng, r, found, ReasonOnDemand); ok {
 			return d, nil
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -88,8 +88,6 @@
 	Domains   []string
 }
 
-func (e Exclude) empty() bool { return len(e.Upstreams) == 0 && len(e.Domains) == 0 }
-
 func (e Exclude) upstream(id upstream.InstanceID) bool { return slices.Contains(e.Upstreams, id) }
 
 // Request says what a chain is chosen for.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -222,3 +223,39 @@
 		assert.Assert(t, u.InFlight() <= 50, "%s holds %d, the bound is 1.25 of 40", u.ID, u.InFlight())
 	}
 }
+
+// Guards against data races, and chains with uncovered layers, while
+// membership and templates change under concurrent requests.
+func TestPlannerConcurrentUse(t *testing.T) {
+	d := upstream.NewDirectory(upstream.DirectoryConfig{})
+	for i := range 24 {
+		from := i % 4
+		addEngine(d, i, string(rune('a'+i%3)), "", 4, pipeline.LayerRange{From: from, To: from + 1}, upstream.Load{})
+	}
+	p := New(Config{Domain: "a"}, d)
+	var wg sync.WaitGroup
+	for worker := range 6 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(worker)))
+			for i := range 150 {
+				id := upstream.InstanceID(fmt.Sprint("e", rng.IntN(20)))
+				_ = d.SetEjected(id, i%2 == 0)
+				beat(d, id, upstream.Load{Queued: i})
+				if i%10 == 0 {
+					p.Rebuild(epoch)
+				}
+				got, err := p.Choose(epoch, rng, Request{Model: "m", Prefix: uint64(i % 3)})
+				if err != nil {
+					t.Errorf("e20 to e23 are always usable: %v", err)
+					return
+				}
+				if err := pipeline.ValidateChain(4, got.Chain.Ranges()); err != nil {
+					t.Error(err)
+				}
+				got.Chain.Acquire()
+				got.Chain.Release()
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/planner/replace.go
+++ b/internal/planner/replace.go
@@ -41,19 +41,26 @@
 	if index < len(c.Stages)-1 {
 		s.target, s.targetBytes = c.Stages[index+1].Domain, p.config.ActivationBytes
 	}
-	var same, other []*upstream.Group
-	for _, g := range p.candidates(c.Model, r.Domains, r.Exclude) {
-		switch {
-		case g.Key.Version != c.Version || g.Key.ModelLayers != c.Layers:
-		case g.Key.Layers == failed.Layers:
-			same = append(same, g)
-		default:
-			other = append(other, g)
+	var d Decision
+	ok := false
+	for range planAttempts {
+		var same, other []*upstream.Group
+		for _, g := range p.candidates(c.Model, r.Domains, r.Exclude) {
+			switch {
+			case g.Key.Version != c.Version || g.Key.ModelLayers != c.Layers:
+			case g.Key.Layers == failed.Layers:
+				same = append(same, g)
+			default:
+				other = append(other, g)
+			}
+		}
+		direct, indirect := p.shortest(s, same), p.shortest(s, other)
+		if d, ok = p.choose(now, rng, r, direct, ReasonSameLayers); !ok {
+			d, ok = p.choose(now, rng, r, indirect, ReasonOtherLayers)
+		}
+		if ok || len(direct)+len(indirect) == 0 {
+			break
 		}
-	}
-	d, ok := p.choose(now, rng, r, p.shortest(s, same), ReasonSameLayers)
-	if !ok {
-		d, ok = p.choose(now, rng, r, p.shortest(s, other), ReasonOtherLayers)
 	}
 	if !ok {
 		return Replacement{}, fmt.Errorf("%w: no replacement for layers %s of model %q", ErrNoChain, failed.Layers, c.Model)
