--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -30,6 +30,7 @@
 	left     chan error
 	lastChat ChatRequest
 	lastCall ServiceRequest
+	token    func(string) error
 }
 
 func (b *fakeBackend) Authenticate(key string) (string, bool) { return "packs", key == "good-key" }
@@ -39,7 +40,7 @@
 func (b *fakeBackend) Metrics() http.Handler                  { return http.NotFoundHandler() }
 
 func (b *fakeBackend) Chat(ctx context.Context, r ChatRequest, token func(string) error) ChatResult {
-	b.lastChat = r
+	b.lastChat, b.token = r, token
 	for _, t := range b.tokens {
 		if err := token(t); err != nil {
 			break
@@ -168,8 +169,8 @@
 	}
 }
 
-// Guards against a stream whose end misstates the outcome, and against a
-// [DONE] after an error or a panic.
+// Guards against a stream whose end misstates the outcome, a [DONE] after an
+// error or a panic, and late text that enters a later response.
 func TestStreamEnd(t *testing.T) {
 	for _, c := range []struct {
 		backend fakeBackend
@@ -183,6 +184,7 @@
 		assert.Equal(t, resp.Header.Get(HeaderOutcome), "unknown")
 		assert.Assert(t, strings.HasSuffix(body, c.end), body)
 		assert.Equal(t, strings.Contains(body, "[DONE]"), strings.Contains(c.end, "[DONE]"))
+		assert.ErrorIs(t, c.backend.token("late"), errResponseEnded)
 	}
 }
 
@@ -285,6 +287,27 @@
 	assert.ErrorIs(t, <-b.left, context.Canceled)
 }
 
+// Guards against a backend that waits for ever for a caller that stopped
+// reading.
+func TestCallerStopsReading(t *testing.T) {
+	piece := strings.Repeat("a", 1<<20)
+	b := &fakeBackend{waits: true, left: make(chan error, 1), result: failed}
+	for range 64 { // more than the sockets' buffers hold
+		b.tokens = append(b.tokens, piece)
+	}
+	h, err := NewHandler(b, Options{WriteTimeout: 50 * time.Millisecond})
+	assert.NilError(t, err)
+	ts := httptest.NewServer(h)
+	t.Cleanup(ts.Close)
+	req, err := http.NewRequest("POST", ts.URL+"/v1/chat/completions", strings.NewReader(chatText+`,"stream":true}`))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer good-key")
+	resp, err := ts.Client().Do(req)
+	assert.NilError(t, err)
+	assert.ErrorIs(t, <-b.left, context.Canceled)
+	assert.NilError(t, resp.Body.Close())
+}
+
 // Guards against a panic that ends the process or claims an outcome.
 func TestPanic(t *testing.T) {
 	var lines bytes.Buffer
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -74,6 +74,7 @@
 		{entry, "max_body = 1 MiB", "max_body = 5 MiB", "[caller] max_body: 5 MiB is outside"},
 		{entry, "max_body = 1 MiB", "max_body = 9999999999999 GiB", "[caller] max_body:"},
 		{entry, "salma = ", "salma = 00", "[operators] salma: is not a SHA-256"},
+		{entry, "[entry]", "other = 5cfc323f09eb2ed3d3febd6abd2104671fed3100b3e2e79bb321aa5ae9b58330\n[entry]", "[operators] other: has the same key as salma"},
 		{entry, "forwarding = chain", "forwarding = ring", "[entry] forwarding:"},
 		{entry, "drain_delay = 2s", "drain_delay = 20m", "[entry] drain_timeout: is not longer"},
 		{entry, "max_in_flight = 4096", "max_in_flight = 0", "[entry] max_in_flight:"},
@@ -115,3 +116,21 @@
 		}
 	})
 }
+
+// Guards against settings that the reference in docs/operations.md omits.
+func TestReference(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	assert.NilError(t, err)
+	entry := newReader("e", []byte(example(t, "sawt-entry.ini")))
+	entry.entry()
+	sidecar := newReader("s", []byte(example(t, "sawt-engine-sidecar.ini")))
+	sidecar.sidecar()
+	for _, r := range []*reader{entry, sidecar} {
+		for section, keys := range r.known {
+			for key := range keys {
+				row := fmt.Sprintf("| `[%s]` | `%s` |", section, key)
+				assert.Assert(t, section == "operators" || strings.Contains(string(page), row), row)
+			}
+		}
+	}
+}
