Protect peer connections with TLS and report interrupted stops

Cause: the settings accepted TLS files that nothing used; a planned stop that ran into its timeout ended with exit code 0; a listener that failed while the process ran went unnoticed; teams could not see each other's load. Change: peers present and check certificates; Run returns ErrDrainTimeout and ends when one of its parts fails; GET /v1/teams shows every team the load of all. What the entry and the sidecar had in common as processes stands once, in internal/process.

--- a/internal/callerapi/backend.go
+++ b/internal/callerapi/backend.go
@@ -77,12 +77,25 @@
 	Replayed bool
 }
 
+// TeamLoad is the load of one team over all entries and upstreams.
+type TeamLoad struct {
+	Team   string  `json:"team"`
+	Weight float64 `json:"weight"`
+	// InFlight is the number of requests being served.
+	InFlight int `json:"in_flight"`
+	// QueuedTokens is the cost of the waiting work in tokens.
+	QueuedTokens    int     `json:"queued_tokens"`
+	TokensPerSecond float64 `json:"tokens_per_second"`
+}
+
 // Backend is what the API serves. The entry implements it.
 type Backend interface {
 	// Authenticate returns the team that owns key, or false.
 	Authenticate(key string) (team string, ok bool)
 	// Profiles returns the names of the profiles that callers may use.
 	Profiles() []string
+	// TeamLoads returns the load of every team, in order of name.
+	TeamLoads() []TeamLoad
 	// Chat runs a request. It calls token for each piece of text, in order,
 	// from one goroutine, and stops early if token returns an error or ctx
 	// ends.
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -125,6 +125,7 @@
 	}
 	a.route(app, "/v1/chat/completions", plain(a.chat), http.MethodPost)
 	a.route(app, "/v1/models", plain(a.models), http.MethodGet, http.MethodHead)
+	a.route(app, "/v1/teams", plain(a.teams), http.MethodGet, http.MethodHead)
 	a.route(app, "/v1/services/{service}/{operation}", service, http.MethodPost, http.MethodGet)
 	a.route(app, "/healthz", plain(a.healthz), http.MethodGet, http.MethodHead)
 	a.route(app, "/readyz", plain(a.readyz), http.MethodGet, http.MethodHead)
@@ -376,6 +377,24 @@
 	writeJSON(w, http.StatusOK, request.OutcomeCompleted, list)
 }
 
+type teamList struct {
+	Object string     `json:"object"`
+	Data   []TeamLoad `json:"data"`
+}
+
+// teams shows every team the load of all teams, so that a small team can watch
+// the largest one.
+func (a *api) teams(w http.ResponseWriter, r *http.Request) {
+	if _, ok := a.authenticate(w, r); !ok {
+		return
+	}
+	list := teamList{Object: "list", Data: a.backend.TeamLoads()}
+	if list.Data == nil {
+		list.Data = []TeamLoad{}
+	}
+	writeJSON(w, http.StatusOK, request.OutcomeCompleted, list)
+}
+
 type status struct {
 	Status string `json:"status"`
 }
--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -20,6 +20,10 @@
 )
 
 // fakeBackend answers chats with tokens and then result, and calls with call.
+func (b *fakeBackend) TeamLoads() []TeamLoad {
+	return []TeamLoad{{Team: "large", Weight: 1, QueuedTokens: 90}, {Team: "small", Weight: 1}}
+}
+
 type fakeBackend struct {
 	tokens   []string
 	result   ChatResult
@@ -333,3 +337,18 @@
 		assert.Assert(t, len(call.messages) > 0 && call.maxTokens >= 0 && call.maxTokens <= maxMaxTokens)
 	})
 }
+
+// Guards against a team that can't see the load of the others, and against
+// showing it to callers without a key.
+func TestTeamsAreVisibleToEveryTeam(t *testing.T) {
+	h, err := NewHandler(&fakeBackend{}, Options{})
+	assert.NilError(t, err)
+	for key, status := range map[string]int{"Bearer good-key": http.StatusOK, "Bearer bad-key": http.StatusUnauthorized} {
+		r := httptest.NewRequest(http.MethodGet, "/v1/teams", nil)
+		r.Header.Set("Authorization", key)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		assert.Equal(t, w.Code, status)
+		assert.Equal(t, strings.Contains(w.Body.String(), `"queued_tokens":90`), status == http.StatusOK)
+	}
+}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -1,12 +1,14 @@
 package daemon
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 
 	"github.com/nutmegroute/nutmegroute/internal/engine"
 	"github.com/nutmegroute/nutmegroute/internal/entry"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
 	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
 	"github.com/nutmegroute/nutmegroute/internal/service"
@@ -20,6 +22,10 @@
 
 // NewEntry makes an entry from its settings.
 func NewEntry(s *settings.Entry, env Environment) (Process, error) {
+	tlsConfig, err := loadTLS(s.Peer)
+	if err != nil {
+		return nil, err
+	}
 	return entry.New(entry.Options{
 		ID:                s.Process.Instance,
 		FailureDomain:     s.Process.FailureDomain,
@@ -38,6 +44,7 @@
 		MaxBody:           s.Caller.MaxBody,
 		MaxHeader:         s.Caller.MaxHeader,
 		Operators:         s.Operators,
+		TLS:               tlsConfig,
 		Platform:          platformClient(s.Platform),
 		Log:               env.Log,
 		Scope:             env.Scope,
@@ -47,6 +54,10 @@
 
 // NewSidecar makes a sidecar from its settings.
 func NewSidecar(s *settings.Sidecar, env Environment) (Process, error) {
+	tlsConfig, err := loadTLS(s.Peer)
+	if err != nil {
+		return nil, err
+	}
 	client := platformClient(s.Platform)
 	options := sidecar.Options{
 		ID:                s.Process.Instance,
@@ -64,6 +75,7 @@
 		MaxQueueTokens:    s.MaxQueueTokens,
 		OutputLogBytes:    s.OutputLogBytes,
 		DrainTimeout:      s.DrainTimeout,
+		TLS:               tlsConfig,
 		Leases:            objectstore.NewLeases(client),
 		Log:               env.Log,
 		Metrics:           env.Metrics,
@@ -84,3 +96,11 @@
 func platformClient(s settings.Platform) *platform.Client {
 	return platform.NewClient(s.Address, platform.WithTimeout(s.Timeout))
 }
+
+// loadTLS returns nil if the settings name no certificate.
+func loadTLS(p settings.Peer) (*tls.Config, error) {
+	if p.TLSCertFile == "" {
+		return nil, nil
+	}
+	return peer.LoadTLS(p.TLSCertFile, p.TLSKeyFile, p.TLSCAFile)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/metrics"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/settings"
 )
 
@@ -44,10 +45,6 @@
 // interrupt its work and return.
 const stopGrace = 5 * time.Second
 
-// ErrDrainTimeout is returned by Process.Run if a planned stop interrupted
-// work in progress because the drain timeout passed.
-var ErrDrainTimeout = errors.New("daemon: work in progress was interrupted by the drain timeout")
-
 var (
 	errNotBuilt   = errors.New("daemon: this program was built without the process")
 	errUnexpected = errors.New("daemon: the process ended without a planned stop")
@@ -207,22 +204,22 @@
 	if p.make == nil {
 		return fail(log, errNotBuilt)
 	}
-	process, err := p.make(Environment{Log: log, Scope: scope, Metrics: handler, Version: Version()})
+	running, err := p.make(Environment{Log: log, Scope: scope, Metrics: handler, Version: Version()})
 	if err != nil {
 		return fail(log, err)
 	}
 	log.Log(events.ProcessStarted).Str("role", p.role).Str("version", Version()).
 		Str("failure_domain", p.process.FailureDomain).Str("region", p.process.Region).Send()
-	return supervise(log, process, signals, p.drainTimeout+stopGrace)
+	return supervise(log, running, signals, p.drainTimeout+stopGrace)
 }
 
-// supervise runs the process until it ends, a second signal arrives or a
+// supervise runs a process until it ends, a second signal arrives or a
 // planned stop exceeds stopLimit.
-func supervise(log *events.Logger, process Process, signals <-chan os.Signal, stopLimit time.Duration) int {
+func supervise(log *events.Logger, running Process, signals <-chan os.Signal, stopLimit time.Duration) int {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	ended := make(chan error, 1)
-	go func() { ended <- process.Run(ctx) }()
+	go func() { ended <- running.Run(ctx) }()
 
 	select {
 	case err := <-ended:
@@ -242,7 +239,7 @@
 		case err == nil:
 			log.Log(events.ProcessStopped).Send()
 			return ExitOK
-		case errors.Is(err, ErrDrainTimeout):
+		case errors.Is(err, process.ErrDrainTimeout):
 			log.Log(events.DrainTimedOut).Err(err).Send()
 			return ExitDrainTimeout
 		}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/settings"
 )
 
@@ -67,7 +68,7 @@
 		{"entry --check --config none.ini", fakeProcess{}, ExitSettings, "none.ini"},
 		{"entry --config " + entry, fakeProcess{}, ExitOK, events.ProcessStopped.Code()},
 		{"sidecar --config " + sidecar, fakeProcess{}, ExitOK, events.ProcessStopped.Code()},
-		{"sidecar --config " + sidecar, fakeProcess{stopErr: ErrDrainTimeout}, ExitDrainTimeout, events.DrainTimedOut.Code()},
+		{"sidecar --config " + sidecar, fakeProcess{stopErr: process.ErrDrainTimeout}, ExitDrainTimeout, events.DrainTimedOut.Code()},
 		{"entry --config " + entry, fakeProcess{hangs: true}, 130, events.ProcessInterrupted.Code()},
 		{"entry --config " + entry, fakeProcess{ends: true, startErr: errors.New("address in use")}, ExitFailed, "address in use"},
 		{"entry --config " + entry, fakeProcess{ends: true}, ExitFailed, "without a planned stop"},
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/adminapi"
+	"github.com/nutmegroute/nutmegroute/internal/callerapi"
 	"github.com/nutmegroute/nutmegroute/internal/config"
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
@@ -192,6 +193,25 @@
 	return rows, nil
 }
 
+// TeamLoads implements callerapi.Backend: it sums up the operators' rows for
+// each team.
+func (e *Entry) TeamLoads() []callerapi.TeamLoad {
+	rows, _ := e.Teams(context.Background())
+	var loads []callerapi.TeamLoad
+	for _, row := range rows {
+		if len(loads) == 0 || loads[len(loads)-1].Team != row.Team {
+			loads = append(loads, callerapi.TeamLoad{Team: row.Team, Weight: row.Weight})
+		}
+		load := &loads[len(loads)-1]
+		load.InFlight += row.InFlight
+		load.QueuedTokens += row.QueuedTokens
+		if row.Entry == allEntries {
+			load.TokensPerSecond = row.TokensPerSecond
+		}
+	}
+	return loads
+}
+
 // Drain implements adminapi.Backend.
 func (e *Entry) Drain(_ context.Context, instance upstream.InstanceID, operator string) error {
 	u, ok := e.directory.Get(instance)
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -14,6 +14,9 @@
 	"github.com/nutmegroute/nutmegroute/internal/team"
 )
 
+// admissionInterval is the time between two updates of admission control.
+const admissionInterval = 100 * time.Millisecond
+
 // admissions holds the admission control of each model.
 type admissions struct {
 	board   *loadBoard
@@ -54,8 +57,8 @@
 }
 
 // Run updates the controls until ctx ends.
-func (a *admissions) Run(ctx context.Context, interval time.Duration) {
-	ticker := time.NewTicker(interval)
+func (a *admissions) Run(ctx context.Context) {
+	ticker := time.NewTicker(admissionInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"net"
@@ -25,6 +26,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
 	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/team"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
@@ -33,12 +35,8 @@
 var ErrNotReady = errors.New("entry: not ready")
 
 const (
-	// drainPoll is how often a leaving entry looks whether it is idle.
-	drainPoll = 20 * time.Millisecond
 	// planInterval is the time between two computations of the templates.
 	planInterval = 250 * time.Millisecond
-	// headerTimeout bounds the reading of request headers.
-	headerTimeout = 5 * time.Second
 )
 
 // Options configure an Entry.
@@ -87,6 +85,8 @@
 	// MaxInFlight bounds the requests in progress. Default 4096.
 	MaxInFlight int
 
+	// TLS protects the peer connections. Default nil: plain TCP.
+	TLS *tls.Config
 	// Platform is the client of the platform's object API and list.
 	Platform *platform.Client
 	// Log receives events. Default none.
@@ -97,12 +97,12 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.HeartbeatInterval, 250*time.Millisecond)
-	setDefault(&o.SuspectAfter, time.Second)
-	setDefault(&o.DrainDelay, 2*time.Second)
-	setDefault(&o.DrainTimeout, 10*time.Minute)
-	setDefault(&o.MaxInFlight, 4096)
-	setDefault(&o.Log, events.Nop())
+	process.SetDefault(&o.HeartbeatInterval, 250*time.Millisecond)
+	process.SetDefault(&o.SuspectAfter, time.Second)
+	process.SetDefault(&o.DrainDelay, 2*time.Second)
+	process.SetDefault(&o.DrainTimeout, 10*time.Minute)
+	process.SetDefault(&o.MaxInFlight, 4096)
+	process.SetDefault(&o.Log, events.Nop())
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
@@ -112,13 +112,6 @@
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Entry is one entry process.
 type Entry struct {
 	options        Options
@@ -164,7 +157,7 @@
 		Role: peer.RoleEntry, ID: options.ID, Address: e.options.Advertise, FailureDomain: options.FailureDomain,
 	}, e, func() uint64 { return uint64(e.replica.Revision()) }, peer.Options{
 		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
-		NoCoalescing: options.NoCoalescing, Dial: options.Dial,
+		NoCoalescing: options.NoCoalescing, Dial: options.Dial, TLS: options.TLS,
 	})
 	e.directory = upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter})
 	e.outliers = newOutliers(e.directory, options.Log)
@@ -227,56 +220,69 @@
 // Run serves until ctx ends, then finishes what is in progress. It returns
 // nil after a graceful stop.
 func (e *Entry) Run(ctx context.Context) error {
-	work, stopWork := context.WithCancel(context.Background())
-	defer stopWork()
-	mux := http.NewServeMux()
-	mux.Handle(peer.Path, e.node)
-	peerServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	callerServer, err := callerapi.NewServer(e, callerapi.Options{
-		MaxBody: e.options.MaxBody, MaxHeader: e.options.MaxHeader, Log: e.options.Log, Scope: e.options.Scope,
-	})
+	servers, err := e.servers()
 	if err != nil {
 		return err
 	}
-
-	admin, err := e.adminHandler()
-	if err != nil {
-		return err
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	g, failed := errgroup.WithContext(work)
+	for _, s := range servers {
+		g.Go(func() error { return process.Serve(s.server, s.listener, s.tls) })
 	}
-	adminServer := &http.Server{Handler: admin, ReadHeaderTimeout: headerTimeout}
-
-	var g errgroup.Group
-	if e.adminListener != nil {
-		g.Go(func() error { return serve(adminServer, e.adminListener) })
+	for _, loop := range []func(context.Context){
+		e.membership.Run, e.sync.Run, e.planLoop, e.orderer.Run, e.outliers.Run, e.heartbeatLoop, e.admissions.Run,
+	} {
+		g.Go(func() error { loop(work); return nil })
 	}
-	g.Go(func() error { return serve(peerServer, e.peerListener) })
-	g.Go(func() error { return serve(callerServer, e.callerListener) })
-	g.Go(func() error { e.membership.Run(work); return nil })
-	g.Go(func() error { e.sync.Run(work); return nil })
-	g.Go(func() error { e.planLoop(work); return nil })
-	g.Go(func() error { e.orderer.Run(work); return nil })
-	g.Go(func() error { e.outliers.Run(work); return nil })
-	g.Go(func() error {
-		return e.sweepRecords(work, objectstore.NewLeases(e.options.Platform), objectstore.NewRecords(e.options.Platform))
-	})
-	g.Go(func() error { e.heartbeatLoop(work); return nil })
-	g.Go(func() error { e.admissions.Run(work, e.options.HeartbeatInterval); return nil })
-	g.Go(func() error { return ignoreCanceled(e.store.Follow(work)) })
+	g.Go(func() error { return process.IgnoreCanceled(e.store.Follow(work)) })
+	g.Go(func() error { return e.sweepRecords(work) })
 
-	<-ctx.Done()
-	e.drain(callerServer)
+	select {
+	case <-ctx.Done():
+		err = e.drain(servers[callerServer].server)
+	case <-failed.Done():
+	}
 	stopWork()
 	e.node.Close()
-	_ = peerServer.Close()
-	_ = adminServer.Close()
-	return g.Wait()
+	for _, s := range servers {
+		_ = s.server.Close()
+	}
+	return errors.Join(err, g.Wait())
 }
 
-func serve(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
+// boundServer is an HTTP server with its listener.
+type boundServer struct {
+	server   *http.Server
+	listener net.Listener
+	tls      *tls.Config
+}
+
+// callerServer is the index of the callers' API in the result of servers.
+const callerServer = 0
+
+// servers returns the HTTP servers of the entry.
+func (e *Entry) servers() ([]boundServer, error) {
+	caller, err := callerapi.NewServer(e, callerapi.Options{
+		MaxBody: e.options.MaxBody, MaxHeader: e.options.MaxHeader, Log: e.options.Log, Scope: e.options.Scope,
+	})
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, e.node)
+	servers := []boundServer{
+		{server: caller, listener: e.callerListener},
+		{server: process.NewServer(mux), listener: e.peerListener, tls: e.options.TLS},
+	}
+	if e.adminListener != nil {
+		admin, err := e.adminHandler()
+		if err != nil {
+			return nil, err
+		}
+		servers = append(servers, boundServer{server: process.NewServer(admin), listener: e.adminListener})
+	}
+	return servers, nil
 }
 
 // planLoop keeps the planner's templates up to date.
@@ -293,25 +299,17 @@
 	}
 }
 
-// ignoreCanceled drops the error of a context that was cancelled on purpose.
-func ignoreCanceled(err error) error {
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
-}
-
-// drain stops accepting requests and waits for those in progress.
-func (e *Entry) drain(server *http.Server) {
+// drain stops accepting requests and waits for those in progress. It returns
+// process.ErrDrainTimeout if some were interrupted.
+func (e *Entry) drain(server *http.Server) error {
 	e.leaving.Store(true)
 	time.Sleep(e.options.DrainDelay)
 	e.closing.Store(true)
+	server.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), e.options.DrainTimeout)
 	defer cancel()
 	_ = server.Shutdown(ctx)
-	for e.inFlight() > 0 && ctx.Err() == nil {
-		time.Sleep(drainPoll)
-	}
+	return process.WaitIdle(ctx, func() bool { return e.inFlight() == 0 })
 }
 
 // draining reports whether new requests are refused.
--- a/internal/entry/sweep.go
+++ b/internal/entry/sweep.go
@@ -6,6 +6,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/lease"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
+	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
 )
 
 const (
@@ -22,8 +23,8 @@
 // sweepRecords removes expired operation records until ctx ends, while this
 // entry holds the lease. Two sweepers at once would be harmless: removal is
 // conditional on the version of an expired record.
-func (e *Entry) sweepRecords(ctx context.Context, leases lease.Store, records operation.SweepStore) error {
-	holder, err := lease.NewHolder(leases, sweepGroup, e.options.ID, lease.Options{Duration: sweepLeaseDuration})
+func (e *Entry) sweepRecords(ctx context.Context) error {
+	holder, err := lease.NewHolder(objectstore.NewLeases(e.options.Platform), sweepGroup, e.options.ID, lease.Options{Duration: sweepLeaseDuration})
 	if err != nil {
 		return err
 	}
@@ -33,7 +34,7 @@
 		holder.Run(ctx, func(error) {})
 	}()
 	defer func() { <-done }()
-	sweeper := operation.NewSweeper(records, operation.SweeperOptions{})
+	sweeper := operation.NewSweeper(objectstore.NewRecords(e.options.Platform), operation.SweeperOptions{})
 	for {
 		pause(ctx, recordSweepInterval)
 		if ctx.Err() != nil {
--- /dev/null
+++ b/internal/peer/tls.go
@@ -0,0 +1,43 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+)
+
+// ErrNoCertificates is returned for a CA file without a certificate.
+var ErrNoCertificates = errors.New("peer: no certificate in the CA file")
+
+// LoadTLS reads the TLS configuration of a process from PEM files. Both ends
+// present certificates and check each other's against the CA file, or against
+// the system's certificates if it is empty. It returns the error of a file, or
+// ErrNoCertificates.
+func LoadTLS(certFile, keyFile, caFile string) (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	config := &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+		// WebSocket needs HTTP/1.1.
+		NextProtos: []string{"http/1.1"},
+	}
+	if caFile == "" {
+		return config, nil
+	}
+	data, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, fmt.Errorf("%w: %s", ErrNoCertificates, caFile)
+	}
+	config.RootCAs, config.ClientCAs = pool, pool
+	return config, nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/lease"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
@@ -35,8 +37,6 @@
 	infoRetry = 200 * time.Millisecond
 	// seedInterval is the time between attempts to reach the seeds.
 	seedInterval = time.Second
-	// headerTimeout bounds the reading of request headers.
-	headerTimeout = 5 * time.Second
 	// recordTimeout bounds the wait for outcomes of claims at a planned stop.
 	recordTimeout = 30 * time.Second
 )
@@ -86,6 +86,8 @@
 	// Dial makes the connections to peers. Default net.Dialer.
 	Dial peer.DialFunc
 
+	// TLS protects the peer connections. Default nil: plain TCP.
+	TLS *tls.Config
 	// Engine is set for an upstream that is a model engine.
 	Engine Engine
 	// Service, ServiceName and Claimer are set for a plain service.
@@ -102,27 +104,20 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.HeartbeatInterval, 250*time.Millisecond)
-	setDefault(&o.SuspectAfter, time.Second)
-	setDefault(&o.MaxBatch, 32)
-	setDefault(&o.MaxQueue, 1024)
-	setDefault(&o.MaxQueueTokens, 1<<20)
-	setDefault(&o.OutputLogBytes, 64<<20)
-	setDefault(&o.DrainTimeout, 10*time.Minute)
-	setDefault(&o.Log, events.Nop())
+	process.SetDefault(&o.HeartbeatInterval, 250*time.Millisecond)
+	process.SetDefault(&o.SuspectAfter, time.Second)
+	process.SetDefault(&o.MaxBatch, 32)
+	process.SetDefault(&o.MaxQueue, 1024)
+	process.SetDefault(&o.MaxQueueTokens, 1<<20)
+	process.SetDefault(&o.OutputLogBytes, 64<<20)
+	process.SetDefault(&o.DrainTimeout, 10*time.Minute)
+	process.SetDefault(&o.Log, events.Nop())
 	if o.Metrics == nil {
 		o.Metrics = http.NotFoundHandler()
 	}
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func attemptString(a request.Attempt) string { return strconv.FormatUint(uint64(a), 10) }
 
 // Sidecar is one sidecar process.
@@ -160,7 +155,7 @@
 		Role: peer.RoleSidecar, ID: options.ID, Address: options.Advertise, FailureDomain: options.FailureDomain,
 	}, s, func() uint64 { return uint64(s.replica.Revision()) }, peer.Options{
 		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
-		NoCoalescing: options.NoCoalescing, Dial: options.Dial,
+		NoCoalescing: options.NoCoalescing, Dial: options.Dial, TLS: options.TLS,
 	})
 	s.sync = configsync.New(s.node, s.replica, func(err error) {
 		options.Log.Log(events.RevisionBehind).Err(err).Send()
@@ -187,35 +182,28 @@
 	defer stopWork()
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, s.node)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	status := &http.Server{Handler: s.statusHandler(), ReadHeaderTimeout: headerTimeout}
+	server, status := process.NewServer(mux), process.NewServer(s.statusHandler())
 
-	var g errgroup.Group
-	g.Go(func() error { return serve(server, s.listener) })
+	g, failed := errgroup.WithContext(work)
+	g.Go(func() error { return process.Serve(server, s.listener, s.options.TLS) })
 	if s.metricsListener != nil {
-		g.Go(func() error { return serve(status, s.metricsListener) })
+		g.Go(func() error { return process.Serve(status, s.metricsListener, nil) })
+	}
+	for _, loop := range []func(context.Context){s.worker.run, s.heartbeatLoop, s.sync.Run, s.weightLoop, s.seedLoop} {
+		g.Go(func() error { loop(work); return nil })
 	}
-	g.Go(func() error { s.worker.run(work); return nil })
-	g.Go(func() error { s.heartbeatLoop(work); return nil })
-	g.Go(func() error { s.sync.Run(work); return nil })
-	g.Go(func() error { s.weightLoop(work); return nil })
-	g.Go(func() error { s.seedLoop(work); return nil })
 
-	<-ctx.Done()
-	s.startLeaving()
-	s.waitIdle()
+	var err error
+	select {
+	case <-ctx.Done():
+		err = s.drain()
+	case <-failed.Done():
+	}
 	stopWork()
 	s.node.Close()
 	_ = server.Close()
 	_ = status.Close()
-	return g.Wait()
-}
-
-func serve(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return errors.Join(err, g.Wait())
 }
 
 // statusHandler serves /healthz, /readyz and /metrics.
@@ -343,21 +331,22 @@
 	s.announce()
 }
 
-// waitIdle waits until no work is in progress, up to the drain timeout.
-func (s *Sidecar) waitIdle() {
+// drain refuses new work and waits until none is in progress. It returns
+// process.ErrDrainTimeout if some was interrupted.
+func (s *Sidecar) drain() error {
+	s.startLeaving()
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.DrainTimeout)
 	defer cancel()
-	for !s.worker.idle() && ctx.Err() == nil {
-		time.Sleep(drainPoll)
-	}
+	err := process.WaitIdle(ctx, s.worker.idle)
 	if s.options.Claimer != nil {
 		rctx, cancel := context.WithTimeout(ctx, recordTimeout)
 		defer cancel()
-		_ = s.options.Claimer.Wait(rctx)
+		err = errors.Join(err, s.options.Claimer.Wait(rctx))
 	}
 	for _, c := range s.node.Conns() {
 		c.Flush(ctx)
 	}
+	return err
 }
 
 func (s *Sidecar) heartbeat() *peer.Heartbeat {
