Add the experiments on faults, recovery, forwarding and cost

Cause: recovery time, the choice of the chain over the star, the router's own cost and the control traffic were not measured. Change: experiments faults, recovery, forwarding, overhead, control (with slopes by least squares) and decisions (names the Go benchmarks).

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -60,6 +60,12 @@
 	return []experiment{
 		{"throughput", throughput},
 		{"fairness", fairness},
+		{"faults", faults},
+		{"recovery", recovery},
+		{"forwarding", forwarding},
+		{"overhead", overhead},
+		{"control", control},
+		{"decisions", decisions},
 	}
 }
 
--- a/internal/bench/client.go
+++ b/internal/bench/client.go
@@ -31,12 +31,14 @@
 	// retry repeats a request that did not complete from its start, as a naive
 	// caller does.
 	retry bool
+	// pause is the wait before a request is repeated.
+	pause time.Duration
 }
 
 func newClient(address string, deadline time.Duration, retry bool) *client {
 	return &client{
 		http:    http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}},
-		address: address, deadline: deadline, retry: retry,
+		address: address, deadline: deadline, retry: retry, pause: naivePause,
 	}
 }
 
@@ -70,7 +72,7 @@
 			return a
 		}
 		select {
-		case <-time.After(naivePause):
+		case <-time.After(c.pause):
 		case <-ctx.Done():
 			return a
 		}
