Share one byte budget between all output logs of a sidecar

Cause: the setting output_log_bytes promises a bound for all sequences together, but each sequence had the whole budget for itself: 1000 open sequences could hold 1000 times as much. Change: logs draw on one budget and give their memory back when the sequence ends. The sequence that finds the budget used up loses its resumption; evicting another one's log was ruled out, because that one may be about to need it. Result: the test that fills the budget with two logs fails without the change and passes with it.

--- a/internal/pipeline/cursor_test.go
+++ b/internal/pipeline/cursor_test.go
@@ -67,15 +67,19 @@
 	}
 }
 
-// Guards against a resumed stage being fed from a log that lost outputs.
-func TestOutputLogTruncation(t *testing.T) {
-	log := NewOutputLog(2 * (outputOverheadBytes + 4))
+// Guards against a resumed stage being fed from a log that lost outputs, and
+// against logs that together outgrow the budget or never give memory back.
+func TestOutputLogBudget(t *testing.T) {
+	budget := NewLogBudget(2 * (outputOverheadBytes + 4))
+	log, other := NewOutputLog(budget), NewOutputLog(budget)
 	log.Append(Output{Activation: []byte("abcd")})
 	log.Append(Output{Activation: []byte("efgh")})
 	outputs, err := log.From(1)
 	assert.NilError(t, err)
 	assert.Equal(t, string(outputs[0].Activation), "efgh")
-	log.Append(Output{Activation: []byte("i")})
-	_, err = log.From(2)
+	other.Append(Output{Activation: []byte("i")})
+	_, err = other.From(0)
 	assert.ErrorIs(t, err, ErrLogTruncated)
+	log.Release()
+	assert.Equal(t, budget.Used(), 0)
 }
--- a/internal/pipeline/outputlog.go
+++ b/internal/pipeline/outputlog.go
@@ -7,7 +7,7 @@
 )
 
 // ErrLogTruncated is returned when an output is no longer held because the
-// log exceeded its byte budget.
+// logs exceeded their byte budget.
 var ErrLogTruncated = errors.New("pipeline: output log exceeded its byte budget")
 
 // Output is what a stage produced for one position: an activation, or a token
@@ -29,34 +29,49 @@
 	return outputOverheadBytes + len(o.Activation) + len(o.Text)
 }
 
+// LogBudget bounds the memory of all output logs of a process. It is not safe
+// for concurrent use.
+type LogBudget struct {
+	limit int
+	used  int
+}
+
+// NewLogBudget returns a budget of limit bytes.
+func NewLogBudget(limit int) *LogBudget { return &LogBudget{limit: limit} }
+
+// Used returns the bytes held by all logs.
+func (b *LogBudget) Used() int { return b.used }
+
 // OutputLog keeps what a stage handed to its successor, so that a replacement
 // of the successor can be fed again. It is not safe for concurrent use.
 type OutputLog struct {
-	limit     int
+	budget    *LogBudget
 	bytes     int
 	outputs   []Output
 	truncated bool
 }
 
-// NewOutputLog returns a log that holds at most limit bytes.
-func NewOutputLog(limit int) *OutputLog {
-	return &OutputLog{limit: limit}
+// NewOutputLog returns an empty log that draws on budget.
+func NewOutputLog(budget *LogBudget) *OutputLog {
+	return &OutputLog{budget: budget}
 }
 
-// Append stores the output of the next position. Once the budget is exceeded
-// the log drops everything and stays truncated.
+// Append stores the output of the next position. A log that finds the budget
+// used up drops everything and stays truncated, so that one sequence loses its
+// resumption instead of every sequence being refused.
 func (l *OutputLog) Append(output Output) {
 	if l.truncated {
 		return
 	}
-	if l.bytes+output.size() > l.limit {
+	size := output.size()
+	if l.budget.used+size > l.budget.limit {
+		l.Release()
 		l.truncated = true
-		l.outputs = nil
-		l.bytes = 0
 		return
 	}
 	l.outputs = append(l.outputs, output)
-	l.bytes += output.size()
+	l.bytes += size
+	l.budget.used += size
 }
 
 // From returns the outputs of position from and later. It returns
@@ -71,5 +86,9 @@
 	return l.outputs[from:], nil
 }
 
-// Bytes returns the number of bytes held.
-func (l *OutputLog) Bytes() int { return l.bytes }
+// Release returns the log's memory to the budget.
+func (l *OutputLog) Release() {
+	l.budget.used -= l.bytes
+	l.bytes = 0
+	l.outputs = nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -70,7 +70,8 @@
 	// MaxQueueTokens bounds the cost of the waiting work. Default 1048576
 	// tokens.
 	MaxQueueTokens int
-	// OutputLogBytes bounds the output log of one sequence. Default 64 MiB.
+	// OutputLogBytes bounds the output logs of all sequences together. Default
+	// 64 MiB.
 	OutputLogBytes int
 	// DrainTimeout bounds a planned stop. Default 10 min.
 	DrainTimeout time.Duration
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -43,7 +43,7 @@
 type Stage struct {
 	node      *peer.Node
 	scheduler *scheduler
-	logBytes  int
+	logs      *pipeline.LogBudget
 	now       func() time.Time
 	// usable reports whether the engine answers.
 	usable func() bool
@@ -70,7 +70,7 @@
 	stage := &Stage{
 		node:      node,
 		scheduler: s,
-		logBytes:  logBytes,
+		logs:      pipeline.NewLogBudget(logBytes),
 		now:       now,
 		sequences: make(map[request.ID]*sequence),
 		closed:    make(map[request.ID]closedSequence),
@@ -142,7 +142,7 @@
 
 func (s *Stage) newSequence(open *peer.OpenSequence) *sequence {
 	seq := &sequence{
-		log:      pipeline.NewOutputLog(s.logBytes),
+		log:      pipeline.NewOutputLog(s.logs),
 		pending:  make(map[request.Position]*peer.Step),
 		engineID: engineSequenceID(open.Request, open.Attempt),
 		deadline: s.now().Add(time.Duration(open.DeadlineMillis) * time.Millisecond),
@@ -330,6 +330,7 @@
 		return
 	}
 	delete(s.sequences, id)
+	seq.log.Release()
 	s.scheduler.drop(id)
 	s.scheduler.cancel(seq.engineID)
 }
