Share the places at a plain service fairly among teams

Cause: calls to a plain service waited in order of arrival, so a large team's backlog held up every other team; their load was not reported either. Change: calls wait in the fair queue, and sidecars of plain services report the teams' load. The integration tests use the full configuration store.

--- /dev/null
+++ b/internal/sidecar/callqueue_test.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a large team's calls holding up a small team's, against more
+// calls at the service than it has places, and against a place that is lost
+// when a caller leaves while it is granted.
+func TestCallQueueIsFairAndKeepsItsPlaces(t *testing.T) {
+	const places, rounds = 2, 200
+	q := newCallQueue(places)
+	for range places {
+		assert.NilError(t, q.acquire(t.Context(), "first"))
+	}
+	order := make(chan string)
+	var wg sync.WaitGroup
+	start := func(name string, queued int) {
+		wg.Go(func() {
+			assert.Check(t, q.acquire(t.Context(), name))
+			order <- name
+		})
+		for {
+			if _, waiting := q.load(); waiting["large"]+waiting["small"] == queued {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for i := range 20 {
+		start("large", i+1)
+	}
+	start("small", 21)
+	position := -1
+	for i := range 21 {
+		q.release()
+		if <-order == "small" {
+			position = i
+		}
+	}
+	wg.Wait()
+	assert.Assert(t, position >= 0 && position <= 2, "the small team's call came after %d of the large team's", position)
+
+	for i := range rounds {
+		ctx, cancel := context.WithCancel(t.Context())
+		wg.Go(func() {
+			if q.acquire(ctx, fmt.Sprint(i%3)) == nil {
+				q.release()
+			}
+		})
+		go cancel()
+		q.release()
+		assert.NilError(t, q.acquire(t.Context(), "first"))
+	}
+	wg.Wait()
+	for range places {
+		q.release()
+	}
+	running, _ := q.load()
+	assert.Equal(t, running, 0)
+}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -11,6 +11,8 @@
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/service"
+	"github.com/nutmegroute/nutmegroute/internal/team"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
 // Service is the part of the plain service's client that a sidecar uses.
@@ -31,7 +33,8 @@
 	service Service
 	claimer *operation.Claimer
 	limit   int
-	slots   chan struct{}
+	queue   *callQueue
+	served  *team.Counters
 	health  *healthCheck
 	log     *events.Logger
 
@@ -46,7 +49,8 @@
 func newCalls(s Service, claimer *operation.Claimer, running, limit int, health *healthCheck, log *events.Logger) *calls {
 	return &calls{
 		service: s, claimer: claimer, limit: limit, health: health, log: log,
-		slots:  make(chan struct{}, running),
+		queue:  newCallQueue(running),
+		served: team.NewCounters(time.Now()),
 		active: make(map[callID]context.CancelFunc),
 	}
 }
@@ -113,6 +117,16 @@
 	c.draining = true
 }
 
+// load returns the load of the service and of each team.
+func (c *calls) load() (upstream.Load, []peer.TeamLoad) {
+	running, waiting := c.queue.load()
+	load := upstream.Load{Running: running}
+	for _, n := range waiting {
+		load.Queued += n
+	}
+	return load, teamLoads(c.served, waiting)
+}
+
 // Len returns the number of calls in progress.
 func (c *calls) Len() int {
 	c.mu.Lock()
@@ -122,13 +136,14 @@
 
 func (c *calls) run(ctx context.Context, call *peer.Call) *peer.CallResult {
 	result := &peer.CallResult{Request: call.Request, Attempt: call.Attempt}
-	select {
-	case c.slots <- struct{}{}:
-		defer func() { <-c.slots }()
-	case <-ctx.Done():
+	if err := c.queue.acquire(ctx, call.Team); err != nil {
+		c.served.Refuse(time.Now(), call.Team)
 		result.Outcome, result.Refused = request.OutcomeNotRun, peer.RefusedDeadline
 		return result
 	}
+	defer c.queue.release()
+	c.served.Admit(time.Now(), call.Team)
+	defer c.served.Serve(time.Now(), call.Team, 1)
 	if call.NonIdempotent {
 		c.runClaimed(ctx, call, result)
 	} else {
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -350,13 +350,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := upstream.Load{Queued: s.queue.Cost(), Running: s.running, StepMicros: s.stepMicros.Load()}
-	queued := s.queue.TeamCosts()
+	return load, teamLoads(s.served, s.queue.TeamCosts())
+}
+
+// teamLoads joins what was served for each team with what waits.
+func teamLoads(served *team.Counters, queued map[string]int) []peer.TeamLoad {
 	var teams []peer.TeamLoad
-	for _, u := range s.served.Report(time.Now()) {
+	for _, u := range served.Report(time.Now()) {
 		teams = append(teams, peer.TeamLoad{
 			Team: u.Team, QueuedTokens: queued[u.Team], TokensPerSecond: u.TokensPerSecond,
 			Admitted: u.Admitted, Refused: u.Refused,
 		})
 	}
-	return load, teams
+	return teams
 }
--- a/internal/sidecar/worker.go
+++ b/internal/sidecar/worker.go
@@ -120,13 +120,12 @@
 
 func (w *serviceWorker) disconnected(*peer.Conn) {}
 
-// setWeight does nothing: calls to a plain service are not queued by team.
-func (w *serviceWorker) setWeight(string, float64) {}
+func (w *serviceWorker) setWeight(team string, weight float64) { w.calls.queue.setWeight(team, weight) }
 
 func (w *serviceWorker) drain() { w.calls.Drain() }
 
 func (w *serviceWorker) idle() bool { return w.calls.Len() == 0 }
 
 func (w *serviceWorker) load() (upstream.Load, []peer.TeamLoad) {
-	return upstream.Load{Running: w.calls.Len()}, nil
+	return w.calls.load()
 }
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -269,7 +269,7 @@
 func (c *cluster) accept(kind config.Kind, name string, base config.Revision, value any) config.Revision {
 	data, err := json.Marshal(value)
 	assert.NilError(c.t, err)
-	change, err := config.NewStore(platform.NewClient(c.store), config.StoreOptions{}).Accept(c.t.Context(), config.Proposal{
+	change, err := config.NewStore(platform.NewClient(c.store), config.NewReplica(), time.Now, nil).Accept(c.t.Context(), config.Proposal{
 		ID: uuid.Must(uuid.NewV7()).String(), Author: "test", Kind: kind, Name: name, Base: base, Value: data,
 	})
 	assert.NilError(c.t, err)
