Let the driver and the stages use replaceable links

Cause: the sequence driver and the stage held a *peer.Node and *peer.Conn, so the two could be tested together only over sockets. Change: both depend on peer.Sender (Send) and peer.Dialer (Connection, Dial); Node.Dialer adapts a node. sidecar.NewStage makes a stage with its scheduler from options, and the engine worker uses it. Behaviour is unchanged. Changing the results of Node.Connection and Node.Dial themselves was ruled out, because the other users need the *Conn.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -80,7 +80,7 @@
 		maxTokens = min(maxTokens, r.MaxTokens)
 	}
 	s := &sequence{
-		node: e.node, chooser: e.chooser,
+		peers: e.node.Dialer(), chooser: e.chooser,
 		id: r.ID, team: r.Team, model: p.Model, domains: planner.NewDomains(p.FailureDomains),
 		prompt: prompt, promptTokens: len(prompt)/bytesPerToken + 1, maxTokens: maxTokens,
 		priority:   p.Priority,
--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -40,21 +40,21 @@
 // binding is a stage bound to the current attempt.
 type binding struct {
 	planner.Stage
-	conn   *peer.Conn
+	conn   peer.Sender
 	next   request.Position
 	opened bool
 }
 
 // sequenceEvent is a frame for a sequence, or the loss of a connection.
 type sequenceEvent struct {
-	conn  *peer.Conn
+	conn  peer.Sender
 	frame peer.Frame
 }
 
 // sequence drives one language-model request over a chain of stages. It is
 // the only process that raises the attempt.
 type sequence struct {
-	node    *peer.Node
+	peers   peer.Dialer
 	chooser chooser
 	random  *rand.Rand
 
@@ -245,11 +245,11 @@
 	var wg sync.WaitGroup
 	for i := range s.stages {
 		b := &s.stages[i]
-		if b.conn = s.node.Connection(b.Address); b.conn != nil {
+		if b.conn = s.peers.Connection(b.Address); b.conn != nil {
 			continue
 		}
 		wg.Go(func() {
-			conn, err := s.node.Dial(ctx, b.Address)
+			conn, err := s.peers.Dial(ctx, b.Address)
 			mu.Lock()
 			defer mu.Unlock()
 			b.conn = conn
@@ -321,7 +321,7 @@
 }
 
 // stageOf returns the index of the stage behind conn, or -1.
-func (s *sequence) stageOf(conn *peer.Conn) int {
+func (s *sequence) stageOf(conn peer.Sender) int {
 	for i := range s.stages {
 		if s.stages[i].conn == conn {
 			return i
--- a/internal/entry/sequences.go
+++ b/internal/entry/sequences.go
@@ -39,7 +39,7 @@
 }
 
 // deliver hands a frame to the sequence it belongs to.
-func (t *sequenceTable) deliver(c *peer.Conn, id request.ID, f peer.Frame) {
+func (t *sequenceTable) deliver(c peer.Sender, id request.ID, f peer.Frame) {
 	t.mu.RLock()
 	s := t.byID[id]
 	t.mu.RUnlock()
@@ -51,7 +51,7 @@
 }
 
 // lost tells every sequence that a connection has ended.
-func (t *sequenceTable) lost(c *peer.Conn) {
+func (t *sequenceTable) lost(c peer.Sender) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	for _, s := range t.byID {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -258,23 +258,21 @@
 	if info.MaxBatch > 0 {
 		maxBatch = min(maxBatch, info.MaxBatch)
 	}
-	limits := schedulerLimits{batch: maxBatch, items: s.options.MaxQueue, tokens: s.options.MaxQueueTokens}
-	scheduler := newScheduler(s.options.Engine, s.describe(info, maxBatch), limits)
 	health := newHealthCheck(func(ctx context.Context) error {
 		_, err := s.options.Engine.Info(ctx)
 		return err
 	}, s.announce)
-	scheduler.engineFailed = health.ask
-	scheduler.fifo = s.options.FIFO
-	stage := newStage(s.node, scheduler, s.options.OutputLogBytes, time.Now)
-	stage.usable = health.usable
-	stage.stepwise = s.options.StepwiseReplay
-	w := &engineWorker{scheduler: scheduler, stage: stage, health: health}
+	stage := NewStage(s.node.Dialer(), s.options.Engine, s.describe(info, maxBatch), StageOptions{
+		MaxBatch: maxBatch, MaxQueue: s.options.MaxQueue, MaxQueueTokens: s.options.MaxQueueTokens,
+		OutputLogBytes: s.options.OutputLogBytes, FIFO: s.options.FIFO, StepwiseReplay: s.options.StepwiseReplay,
+		Usable: health.usable, EngineFailed: health.ask,
+	})
+	w := &engineWorker{scheduler: stage.scheduler, stage: stage, health: health}
 	w.orders = &orders{
 		engine: s.options.Engine, leases: s.options.Leases, group: s.options.Group,
 		stage: stage, health: health, log: s.options.Log,
 		done: func(info engine.Info) {
-			scheduler.setDescriptor(s.describe(info, maxBatch))
+			stage.scheduler.setDescriptor(s.describe(info, maxBatch))
 			s.announce()
 		},
 	}
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -9,6 +9,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/pipeline"
 	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
 const (
@@ -28,7 +29,7 @@
 // sequence is one request's state at this stage.
 type sequence struct {
 	open     peer.OpenSequence
-	entry    *peer.Conn
+	entry    peer.Sender
 	cursor   pipeline.Cursor
 	log      *pipeline.OutputLog
 	pending  map[request.Position]*peer.Step
@@ -41,7 +42,7 @@
 // Stage runs the sequences of one engine. It owns their cursors and output
 // logs.
 type Stage struct {
-	node      *peer.Node
+	peers     peer.Dialer
 	scheduler *scheduler
 	logBytes  int
 	now       func() time.Time
@@ -65,33 +66,57 @@
 	at      time.Time
 }
 
-// newStage returns a Stage that hands steps to the scheduler.
-func newStage(node *peer.Node, s *scheduler, logBytes int, now func() time.Time) *Stage {
+// StageOptions configure a Stage. Options describes the fields with the same
+// names.
+type StageOptions struct {
+	MaxBatch       int
+	MaxQueue       int
+	MaxQueueTokens int
+	OutputLogBytes int
+	FIFO           bool
+	StepwiseReplay bool
+	// Usable reports whether the engine answers.
+	Usable func() bool
+	// EngineFailed is called after a call that the engine did not answer.
+	EngineFailed func()
+}
+
+// NewStage returns a Stage that runs steps on the engine that desc describes.
+// It serves once Run is called.
+func NewStage(peers peer.Dialer, e Engine, desc upstream.Descriptor, o StageOptions) *Stage {
+	s := newScheduler(e, desc, schedulerLimits{batch: o.MaxBatch, items: o.MaxQueue, tokens: o.MaxQueueTokens})
 	stage := &Stage{
-		node:      node,
+		peers:     peers,
 		scheduler: s,
-		logBytes:  logBytes,
-		now:       now,
+		logBytes:  o.OutputLogBytes,
+		now:       time.Now,
+		usable:    o.Usable,
+		stepwise:  o.StepwiseReplay,
 		sequences: make(map[request.ID]*sequence),
 		closed:    make(map[request.ID]closedSequence),
 	}
+	s.fifo = o.FIFO
+	s.engineFailed = o.EngineFailed
 	s.finished = stage.finishStep
 	s.failed = stage.failStep
 	return stage
 }
 
+// Run feeds the engine until ctx ends.
+func (s *Stage) Run(ctx context.Context) { s.scheduler.Run(ctx) }
+
 // Open binds the stage to an attempt and answers with the cursor, after the
 // connection to the next stage stands. A sequence that the stage holds is
 // accepted even while the upstream is leaving.
-func (s *Stage) Open(entry *peer.Conn, open *peer.OpenSequence) {
-	if open.Downstream == "" || s.node.Connection(open.Downstream) != nil {
+func (s *Stage) Open(entry peer.Sender, open *peer.OpenSequence) {
+	if open.Downstream == "" || s.peers.Connection(open.Downstream) != nil {
 		s.bind(entry, open)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
-		if _, err := s.node.Dial(ctx, open.Downstream); err != nil {
+		if _, err := s.peers.Dial(ctx, open.Downstream); err != nil {
 			_ = entry.Send(&peer.SequenceFailed{
 				Request: open.Request, Attempt: open.Attempt,
 				Reason: peer.FailedDownstream, Downstream: open.Downstream, Detail: err.Error(),
@@ -102,7 +127,7 @@
 	}()
 }
 
-func (s *Stage) bind(entry *peer.Conn, open *peer.OpenSequence) {
+func (s *Stage) bind(entry peer.Sender, open *peer.OpenSequence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answer := &peer.SequenceOpened{Request: open.Request, Attempt: open.Attempt}
@@ -114,7 +139,7 @@
 	_ = entry.Send(answer)
 }
 
-func (s *Stage) bindLocked(entry *peer.Conn, open *peer.OpenSequence) (*sequence, peer.RefusalReason) {
+func (s *Stage) bindLocked(entry peer.Sender, open *peer.OpenSequence) (*sequence, peer.RefusalReason) {
 	seq := s.sequences[open.Request]
 	if seq == nil {
 		if closed, ok := s.closed[open.Request]; ok && open.Attempt <= closed.attempt {
@@ -284,7 +309,7 @@
 		_ = seq.entry.Send(step)
 		return
 	}
-	conn := s.node.Connection(seq.open.Downstream)
+	conn := s.peers.Connection(seq.open.Downstream)
 	if conn == nil || conn.Send(step) != nil {
 		s.reportFailure(seq, peer.FailedDownstream, "connection lost")
 	}
@@ -336,7 +361,7 @@
 
 // Disconnected handles the end of a connection: sequences of an entry become
 // orphans, and sequences whose next stage is lost are reported.
-func (s *Stage) Disconnected(c *peer.Conn, dialedAddress string) {
+func (s *Stage) Disconnected(c peer.Sender, dialedAddress string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, seq := range s.sequences {
