entry: Count only the rate at which sequences start

Admission control divided the waiting work by the whole rate of the upstreams, but steps of running sequences go first, so a waiting sequence gets only the part of the rate that is left. It also left out the queues of all stages but the longest. Change: sidecars report the part of the served cost that started sequences (Load.StartFraction, averaged over 2048 work items), the entry scales the rate with it and adds up the waits of all stages. A lower fixed limit on waiting work was ruled out, because the right limit depends on the answers' lengths.

--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -53,9 +53,10 @@
 	step   time.Duration
 }
 
-// snapshot returns the load on a model for admission control. A chain is as
-// slow as the layer range with the longest queue, so that one decides; the
-// time of a step adds up over all of them.
+// snapshot returns the load on a model for admission control. The layer range
+// with the longest queue decides which team is refused; the time of a step and
+// the wait in the other ranges' queues add up, because a sequence waits to
+// start in each of them.
 func (b *loadBoard) snapshot(model string, state *config.State) team.LoadSnapshot {
 	stages := b.stages(model)
 	var worst *stageLoad
@@ -69,6 +70,11 @@
 	if worst == nil {
 		return s
 	}
+	for _, stage := range stages {
+		if stage != worst && stage.rate > 0 {
+			s.Fixed += time.Duration(stage.queued / stage.rate * float64(time.Second))
+		}
+	}
 	s.TokensPerSecond = worst.rate
 	for name, tokens := range worst.tokens {
 		t, _ := state.Team(name)
@@ -97,7 +103,10 @@
 
 // add counts one report. The rate is what the upstream has been seen to serve,
 // or what full batches would give if it is higher, because an upstream that is
-// not busy serves less than it could.
+// not busy serves less than it could. Steps of running sequences go before
+// those that start one, so waiting work gets only the part of the rate that
+// starts sequences; without this, admission control counted on a multiple of
+// the real rate and let the time to the first token grow past its target.
 func (s *stageLoad) add(r loadReport) {
 	served := 0.0
 	for _, t := range r.teams {
@@ -109,6 +118,9 @@
 	if step > 0 {
 		served = max(served, float64(r.desc.MaxBatch)/step.Seconds())
 	}
+	if r.load.StartFraction > 0 {
+		served *= r.load.StartFraction
+	}
 	s.rate += served
 	s.step = max(s.step, step)
 }
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -37,6 +37,9 @@
 	cancelBacklog = 1024
 	// stepSmoothing is the weight of a new sample of the step duration.
 	stepSmoothing = 0.2
+	// mixMemory is the number of work items over which the part that starts
+	// sequences is averaged: about two seconds of a busy engine.
+	mixMemory = 2048
 )
 
 // work is one or more consecutive steps of a sequence that wait for or run on
@@ -97,7 +100,11 @@
 	running int
 	wakeup  chan struct{}
 
-	served     *teamCounters
+	served *teamCounters
+	// servedCost and startCost are decaying sums of the served cost, and of the
+	// part of it that started sequences. Guarded by mu.
+	servedCost, startCost float64
+
 	stepMicros atomic.Int64
 	cancels    chan string
 }
@@ -275,6 +282,7 @@
 		}
 	}
 	s.served.serve(w.team, w.cost)
+	s.observeMix(w)
 	s.finished(w, results)
 }
 
@@ -321,6 +329,18 @@
 	s.stepMicros.Store(old + int64(stepSmoothing*float64(sample-old)))
 }
 
+// observeMix averages the part of the served cost that started sequences.
+func (s *scheduler) observeMix(w *work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	const keep = 1 - 1.0/mixMemory
+	s.servedCost = s.servedCost*keep + float64(w.cost)
+	s.startCost *= keep
+	if !w.continues {
+		s.startCost += float64(w.cost)
+	}
+}
+
 // cancel frees a sequence's KV cache in the background. If the backlog is
 // full, the engine's own eviction frees it.
 func (s *scheduler) cancel(id string) {
@@ -348,5 +368,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := upstream.Load{Queued: s.queue.Cost(), Running: s.running, StepMicros: s.stepMicros.Load()}
+	if s.servedCost > 0 {
+		load.StartFraction = s.startCost / s.servedCost
+	}
 	return load, s.served.report(s.queue.TeamCosts(), time.Now())
 }
--- a/internal/upstream/descriptor.go
+++ b/internal/upstream/descriptor.go
@@ -62,4 +62,7 @@
 	StepMicros int64 `cbor:"4,keyasint" json:"step_us"`
 	// AgeMillis is the age of the upstream's own report in milliseconds.
 	AgeMillis int64 `cbor:"5,keyasint" json:"age_ms"`
+	// StartFraction is the part of the served cost that started sequences, 0 to
+	// 1. 0 means that it isn't known.
+	StartFraction float64 `cbor:"6,keyasint,omitempty" json:"start_fraction"`
 }
