--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"net"
@@ -24,7 +25,9 @@
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
-	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
+	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
+	"github.com/nutmegroute/nutmegroute/internal/process"
+	"github.com/nutmegroute/nutmegroute/internal/team"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -32,12 +35,8 @@
 var ErrNotReady = errors.New("entry: not ready")
 
 const (
-	// drainPoll is how often a leaving entry looks whether it is idle.
-	drainPoll = 20 * time.Millisecond
 	// planInterval is the time between two computations of the templates.
 	planInterval = 250 * time.Millisecond
-	// headerTimeout bounds the reading of request headers.
-	headerTimeout = 5 * time.Second
 )
 
 // Options configure an Entry.
@@ -86,6 +85,8 @@
 	// MaxInFlight bounds the requests in progress. Default 4096.
 	MaxInFlight int
 
+	// TLS protects the peer connections. Default nil: plain TCP.
+	TLS *tls.Config
 	// Platform is the client of the platform's object API and list.
 	Platform *platform.Client
 	// Log receives events. Default none.
@@ -96,12 +97,12 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.HeartbeatInterval, 250*time.Millisecond)
-	setDefault(&o.SuspectAfter, time.Second)
-	setDefault(&o.DrainDelay, 2*time.Second)
-	setDefault(&o.DrainTimeout, 10*time.Minute)
-	setDefault(&o.MaxInFlight, 4096)
-	setDefault(&o.Log, events.Nop())
+	process.SetDefault(&o.HeartbeatInterval, 250*time.Millisecond)
+	process.SetDefault(&o.SuspectAfter, time.Second)
+	process.SetDefault(&o.DrainDelay, 2*time.Second)
+	process.SetDefault(&o.DrainTimeout, 10*time.Minute)
+	process.SetDefault(&o.MaxInFlight, 4096)
+	process.SetDefault(&o.Log, events.Nop())
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
@@ -111,42 +112,44 @@
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Entry is one entry process.
 type Entry struct {
 	options        Options
 	node           *peer.Node
 	peerListener   net.Listener
 	callerListener net.Listener
+	adminListener  net.Listener
 	directory      *upstream.Directory
 	membership     *membership
 	replica        *config.Replica
 	store          *config.Store
 	canceller      *operation.Canceller
+	orderer        *orderer
 	sync           *configsync.Syncer
 	loads          *loadBoard
+	outliers       *outliers
+	retries        *team.RetryBudget
+	peers          *entryBoard
 	admissions     *admissions
 	planner        *planner.Planner
 	chooser        chooser
 	sequences      *sequenceTable
 	calls          *callTable
 	openCalls      atomic.Int64
-	traces         *traces
-	meters         *meters
-	leaving        atomic.Bool
-	closing        atomic.Bool
+	usage          *team.Counters
+	// own is the latest report of the teams' load at this entry.
+	own       atomic.Pointer[[]peer.TeamLoad]
+	storeDown atomic.Bool
+	traces    *traces
+	meters    *meters
+	leaving   atomic.Bool
+	closing   atomic.Bool
 }
 
 // New listens on the entry's addresses. It returns a listener's error.
 func New(options Options) (*Entry, error) {
 	options = options.withDefaults()
-	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable(), calls: newCallTable(), traces: newTraces(), meters: newMeters(options.Scope)}
+	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable(), calls: newCallTable(), traces: newTraces(), meters: newMeters(options.Scope), usage: team.NewCounters(time.Now())}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -154,18 +157,22 @@
 		Role: peer.RoleEntry, ID: options.ID, Address: e.options.Advertise, FailureDomain: options.FailureDomain,
 	}, e, func() uint64 { return uint64(e.replica.Revision()) }, peer.Options{
 		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
-		NoCoalescing: options.NoCoalescing, Dial: options.Dial,
+		NoCoalescing: options.NoCoalescing, Dial: options.Dial, TLS: options.TLS,
 	})
 	e.directory = upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter})
+	e.outliers = newOutliers(e.directory, options.Log)
+	e.retries = team.NewRetryBudget()
 	e.loads = newLoadBoard()
+	e.peers = newEntryBoard()
 	e.admissions = newAdmissions(e.loads, e.replica)
 	e.planner = planner.New(planner.Config{Domain: options.FailureDomain}, e.directory)
 	e.chooser = plannedChooser{e.planner}
 	if options.RoundRobin {
 		e.chooser = &roundRobin{directory: e.directory}
 	}
-	e.store = config.NewStore(options.Platform, config.StoreOptions{})
-	e.canceller = operation.NewCanceller(recordstore.New(options.Platform), operation.Options{})
+	e.store = config.NewStore(options.Platform, e.replica, time.Now, e.reportStore)
+	e.canceller = operation.NewCanceller(objectstore.NewRecords(options.Platform), operation.Options{})
+	e.orderer = newOrderer(e, objectstore.NewLeases(options.Platform))
 	e.sync = configsync.New(e.node, e.replica, func(err error) {
 		options.Log.Log(events.RevisionBehind).Err(err).Send()
 	})
@@ -182,6 +189,13 @@
 		_ = e.peerListener.Close()
 		return err
 	}
+	if e.options.AdminListen != "" {
+		if e.adminListener, err = net.Listen("tcp", e.options.AdminListen); err != nil {
+			_ = e.peerListener.Close()
+			_ = e.callerListener.Close()
+			return err
+		}
+	}
 	if e.options.Advertise == "" {
 		e.options.Advertise = e.peerListener.Addr().String()
 	}
@@ -191,46 +205,84 @@
 // CallerAddress returns the address of the callers' API.
 func (e *Entry) CallerAddress() string { return e.callerListener.Addr().String() }
 
+// AdminAddress returns the address of the operators' API, or "" if there is
+// none.
+func (e *Entry) AdminAddress() string {
+	if e.adminListener == nil {
+		return ""
+	}
+	return e.adminListener.Addr().String()
+}
+
 // PeerAddress returns the address that peers are told.
 func (e *Entry) PeerAddress() string { return e.options.Advertise }
 
 // Run serves until ctx ends, then finishes what is in progress. It returns
 // nil after a graceful stop.
 func (e *Entry) Run(ctx context.Context) error {
-	work, stopWork := context.WithCancel(context.Background())
-	defer stopWork()
-	mux := http.NewServeMux()
-	mux.Handle(peer.Path, e.node)
-	peerServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	callerServer, err := callerapi.NewServer(e, callerapi.Options{
-		MaxBody: e.options.MaxBody, MaxHeader: e.options.MaxHeader, Log: e.options.Log, Scope: e.options.Scope,
-	})
+	servers, err := e.servers()
 	if err != nil {
 		return err
 	}
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	g, failed := errgroup.WithContext(work)
+	for _, s := range servers {
+		g.Go(func() error { return process.Serve(s.server, s.listener, s.tls) })
+	}
+	for _, loop := range []func(context.Context){
+		e.membership.Run, e.sync.Run, e.planLoop, e.orderer.Run, e.outliers.Run, e.heartbeatLoop, e.admissions.Run,
+	} {
+		g.Go(func() error { loop(work); return nil })
+	}
+	g.Go(func() error { return process.IgnoreCanceled(e.store.Follow(work)) })
+	g.Go(func() error { return e.sweepRecords(work) })
 
-	var g errgroup.Group
-	g.Go(func() error { return serve(peerServer, e.peerListener) })
-	g.Go(func() error { return serve(callerServer, e.callerListener) })
-	g.Go(func() error { e.membership.Run(work); return nil })
-	g.Go(func() error { e.sync.Run(work); return nil })
-	g.Go(func() error { e.planLoop(work); return nil })
-	g.Go(func() error { e.admissions.Run(work, e.options.HeartbeatInterval); return nil })
-	g.Go(func() error { return ignoreCanceled(e.store.Follow(work, e.replica)) })
-
-	<-ctx.Done()
-	e.drain(callerServer)
+	select {
+	case <-ctx.Done():
+		err = e.drain(servers[callerServer].server)
+	case <-failed.Done():
+	}
 	stopWork()
 	e.node.Close()
-	_ = peerServer.Close()
-	return g.Wait()
+	for _, s := range servers {
+		_ = s.server.Close()
+	}
+	return errors.Join(err, g.Wait())
 }
 
-func serve(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
+// boundServer is an HTTP server with its listener.
+type boundServer struct {
+	server   *http.Server
+	listener net.Listener
+	tls      *tls.Config
+}
+
+// callerServer is the index of the callers' API in the result of servers.
+const callerServer = 0
+
+// servers returns the HTTP servers of the entry.
+func (e *Entry) servers() ([]boundServer, error) {
+	caller, err := callerapi.NewServer(e, callerapi.Options{
+		MaxBody: e.options.MaxBody, MaxHeader: e.options.MaxHeader, Log: e.options.Log, Scope: e.options.Scope,
+	})
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, e.node)
+	servers := []boundServer{
+		{server: caller, listener: e.callerListener},
+		{server: process.NewServer(mux), listener: e.peerListener, tls: e.options.TLS},
+	}
+	if e.adminListener != nil {
+		admin, err := e.adminHandler()
+		if err != nil {
+			return nil, err
+		}
+		servers = append(servers, boundServer{server: process.NewServer(admin), listener: e.adminListener})
+	}
+	return servers, nil
 }
 
 // planLoop keeps the planner's templates up to date.
@@ -247,25 +299,17 @@
 	}
 }
 
-// ignoreCanceled drops the error of a context that was cancelled on purpose.
-func ignoreCanceled(err error) error {
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
-}
-
-// drain stops accepting requests and waits for those in progress.
-func (e *Entry) drain(server *http.Server) {
+// drain stops accepting requests and waits for those in progress. It returns
+// process.ErrDrainTimeout if some were interrupted.
+func (e *Entry) drain(server *http.Server) error {
 	e.leaving.Store(true)
 	time.Sleep(e.options.DrainDelay)
 	e.closing.Store(true)
+	server.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), e.options.DrainTimeout)
 	defer cancel()
 	_ = server.Shutdown(ctx)
-	for e.inFlight() > 0 && ctx.Err() == nil {
-		time.Sleep(drainPoll)
-	}
+	return process.WaitIdle(ctx, func() bool { return e.inFlight() == 0 })
 }
 
 // draining reports whether new requests are refused.
@@ -329,6 +373,7 @@
 	logDisconnected(e.options.Log, c, err)
 	e.membership.disconnected(c)
 	e.loads.remove(upstream.InstanceID(c.Hello().ID))
+	e.peers.remove(c.Hello().ID)
 	e.sync.Disconnected(c)
 	e.sequences.lost(c)
 	e.calls.lost(c)
@@ -338,9 +383,11 @@
 func (e *Entry) HandleFrame(c *peer.Conn, f peer.Frame) {
 	switch f := f.(type) {
 	case *peer.Heartbeat:
+		e.peers.install(c.Hello(), f)
 		e.membership.heartbeat(c, f)
-		if h := c.Hello(); h.Role == peer.RoleSidecar {
-			e.loads.install(upstream.InstanceID(h.ID), h.Upstream, f)
+		if u, ok := e.directory.Get(upstream.InstanceID(c.Hello().ID)); ok {
+			e.loads.install(u.ID, u.Descriptor, f)
+			e.outliers.observe(u, f.Load)
 		}
 	case *peer.SequenceOpened:
 		e.sequences.deliver(c, f.Request, f)
@@ -350,6 +397,8 @@
 		e.sequences.deliver(c, f.Request, f)
 	case *peer.SequenceFailed:
 		e.sequences.deliver(c, f.Request, f)
+	case *peer.OrderResult:
+		e.orderer.deliver(f)
 	case *peer.CallResult:
 		e.calls.deliver(f)
 	default:
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -8,12 +9,12 @@
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/team"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
 // Kinds of trace events.
 const (
-	traceChosen   = "chain-chosen"
 	traceLost     = "stage-lost"
 	traceReplaced = "stage-replaced"
 	traceDispatch = "dispatched"
@@ -49,7 +50,9 @@
 
 // stageReplaced logs and counts the replacement of a stage.
 func (s *sequence) stageReplaced(lost, replacement upstream.InstanceID, reason string) {
-	s.trace.add(s.attempt, traceReplaced, string(lost)+" by "+string(replacement)+": "+reason)
+	s.trace.append(traceEvent{
+		attempt: s.attempt, kind: traceReplaced, detail: reason, replaced: lost, replacement: replacement,
+	})
 	s.meters.replaced.Inc(1)
 	s.log.Log(events.StageReplaced).Str("request", string(s.id)).Str("lost", string(lost)).
 		Str("replacement", string(replacement)).Str("reason", reason).Uint32("attempt", uint32(s.attempt)).Send()
@@ -70,6 +73,13 @@
 	}
 }
 
+// logRetryBudget reports a retry that was not made.
+func logRetryBudget(log *events.Logger, name string, err error) {
+	if errors.Is(err, team.ErrRetryBudget) {
+		log.Log(events.RetryBudgetSpent).Str("team", name).Send()
+	}
+}
+
 // logConnected and logDisconnected report the connections to peers.
 func logConnected(log *events.Logger, c *peer.Conn) {
 	log.Log(events.PeerConnected).Str("peer", c.Hello().ID).Str("address", c.Hello().Address).Send()
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -100,7 +100,7 @@
 	running int
 	wakeup  chan struct{}
 
-	served *teamCounters
+	served *team.Counters
 	// servedCost and startCost are decaying sums of the served cost, and of the
 	// part of it that started sequences. Guarded by mu.
 	servedCost, startCost float64
@@ -119,7 +119,7 @@
 		queue:   team.NewFairQueue[*work](team.QueueLimits{}),
 		waiting: make(map[request.ID]*work),
 		wakeup:  make(chan struct{}, 1),
-		served:  newTeamCounters(),
+		served:  team.NewCounters(time.Now()),
 		cancels: make(chan string, cancelBacklog),
 	}
 	s.desc.Store(&desc)
@@ -128,6 +128,8 @@
 
 func (s *scheduler) descriptor() upstream.Descriptor { return *s.desc.Load() }
 
+func (s *scheduler) setDescriptor(d upstream.Descriptor) { s.desc.Store(&d) }
+
 // setWeight sets the share of a team.
 func (s *scheduler) setWeight(name string, weight float64) {
 	s.mu.Lock()
@@ -144,14 +146,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fullFor(open.Team, open.PromptTokens) {
-		s.served.refuse(open.Team)
+		s.served.Refuse(time.Now(), open.Team)
 		return peer.RefusedQueueFull
 	}
 	if s.estimatedWait() > time.Duration(open.DeadlineMillis)*time.Millisecond {
-		s.served.refuse(open.Team)
+		s.served.Refuse(time.Now(), open.Team)
 		return peer.RefusedDeadline
 	}
-	s.served.admit(open.Team)
+	s.served.Admit(time.Now(), open.Team)
 	return ""
 }
 
@@ -281,7 +283,7 @@
 			return
 		}
 	}
-	s.served.serve(w.team, w.cost)
+	s.served.Serve(time.Now(), w.team, w.cost)
 	s.observeMix(w)
 	s.finished(w, results)
 }
@@ -371,5 +373,13 @@
 	if s.servedCost > 0 {
 		load.StartFraction = s.startCost / s.servedCost
 	}
-	return load, s.served.report(s.queue.TeamCosts(), time.Now())
+	queued := s.queue.TeamCosts()
+	var teams []peer.TeamLoad
+	for _, u := range s.served.Report(time.Now()) {
+		teams = append(teams, peer.TeamLoad{
+			Team: u.Team, QueuedTokens: queued[u.Team], TokensPerSecond: u.TokensPerSecond,
+			Admitted: u.Admitted, Refused: u.Refused,
+		})
+	}
+	return load, teams
 }
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -43,7 +43,7 @@
 type Stage struct {
 	node      *peer.Node
 	scheduler *scheduler
-	logBytes  int
+	logs      *pipeline.LogBudget
 	now       func() time.Time
 	// usable reports whether the engine answers.
 	usable func() bool
@@ -55,6 +55,8 @@
 	closed    map[request.ID]closedSequence
 	// draining refuses sequences that the stage does not hold yet.
 	draining bool
+	// paused refuses them for the time of an order to the engine.
+	paused bool
 }
 
 // closedSequence remembers a sequence that ended.
@@ -68,7 +70,7 @@
 	stage := &Stage{
 		node:      node,
 		scheduler: s,
-		logBytes:  logBytes,
+		logs:      pipeline.NewLogBudget(logBytes),
 		now:       now,
 		sequences: make(map[request.ID]*sequence),
 		closed:    make(map[request.ID]closedSequence),
@@ -121,7 +123,7 @@
 		if s.draining {
 			return nil, peer.RefusedLeaving
 		}
-		if !s.usable() {
+		if s.paused || !s.usable() {
 			return nil, peer.RefusedUnavailable
 		}
 		if reason := s.scheduler.admit(open); reason != "" {
@@ -140,7 +142,7 @@
 
 func (s *Stage) newSequence(open *peer.OpenSequence) *sequence {
 	seq := &sequence{
-		log:      pipeline.NewOutputLog(s.logBytes),
+		log:      pipeline.NewOutputLog(s.logs),
 		pending:  make(map[request.Position]*peer.Step),
 		engineID: engineSequenceID(open.Request, open.Attempt),
 		deadline: s.now().Add(time.Duration(open.DeadlineMillis) * time.Millisecond),
@@ -328,6 +330,7 @@
 		return
 	}
 	delete(s.sequences, id)
+	seq.log.Release()
 	s.scheduler.drop(id)
 	s.scheduler.cancel(seq.engineID)
 }
@@ -354,6 +357,14 @@
 	s.draining = true
 }
 
+// Pause refuses sequences that the stage does not hold yet while an order to
+// the engine is under way.
+func (s *Stage) Pause(paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = paused
+}
+
 // Sweep removes orphans, sequences past their deadline, and old memories of
 // closed sequences.
 func (s *Stage) Sweep() {
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -18,7 +18,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/pipeline"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
-	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
+	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
 	"github.com/nutmegroute/nutmegroute/internal/service"
 	"github.com/nutmegroute/nutmegroute/internal/sidecar"
 	standinengine "github.com/nutmegroute/nutmegroute/internal/standin/engine"
@@ -186,6 +186,7 @@
 	options.ID = fmt.Sprintf("%s-stage%d-%d", config.Model, stage, replica)
 	options.FailureDomain = d.domain(stage + replica)
 	options.Engine = engine.NewClient(url, nil)
+	options.Leases = objectstore.NewLeases(d.Client)
 	options.Group = fmt.Sprintf("%s-stage%d", config.Model, stage)
 	s, p, err := d.startSidecar(options)
 	if err != nil {
@@ -208,7 +209,7 @@
 		options.FailureDomain = d.domain(replica)
 		options.Service = service.NewClient(url, nil)
 		options.ServiceName = o.Name
-		options.Claimer = operation.NewClaimer(recordstore.New(d.Client), operation.Options{})
+		options.Claimer = operation.NewClaimer(objectstore.NewRecords(d.Client), operation.Options{})
 		if _, _, err := d.startSidecar(options); err != nil {
 			return err
 		}
@@ -243,6 +244,7 @@
 	options.FailureDomain = d.domain(i)
 	options.PeerListen = loopback
 	options.CallerListen = callerListen
+	options.AdminListen = loopback
 	options.Secret = peerSecret
 	options.Platform = d.Client
 	options.Log = d.options.Log
@@ -277,9 +279,9 @@
 	return p
 }
 
-// Apply accepts a configuration change through the platform's store.
+// Apply accepts a configuration change through the first entry.
 func (d *Deployment) Apply(ctx context.Context, p config.Proposal) error {
-	_, err := config.NewStore(d.Client, config.StoreOptions{}).Accept(ctx, p)
+	_, err := d.Entries[0].Accept(ctx, p)
 	return err
 }
 
