--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/callerapi"
 	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
@@ -21,6 +23,9 @@
 	// redispatchPause is the wait before the upstreams of a service are tried
 	// again after all have been tried.
 	redispatchPause = 100 * time.Millisecond
+	// callRetryFraction is the share of a team's calls to plain services that
+	// may be dispatched again.
+	callRetryFraction = 0.2
 )
 
 // pendingCall waits for the answer to one dispatch.
@@ -92,10 +97,12 @@
 
 	attempt  request.Attempt
 	excluded map[upstream.InstanceID]bool
+	random   *rand.Rand
 	// uncertain is true once a dispatch ended without an answer, so that the
 	// call may have run or may still run.
 	uncertain bool
 	refusal   string
+	trace     *trace
 }
 
 // NeedsKey implements callerapi.Backend.
@@ -118,12 +125,20 @@
 		entry: e, request: r, op: op,
 		deadline: time.Now().Add(time.Duration(op.DeadlineMillis) * time.Millisecond),
 		excluded: make(map[upstream.InstanceID]bool),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		trace:    e.traces.start(r.ID, r.Team, r.Service+"/"+r.Operation),
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	e.openCalls.Add(1)
 	defer e.openCalls.Add(-1)
-	return c.run(ctx)
+	e.retries.Request(r.Team, callRetryFraction)
+	e.beginWork(r.Team)
+	defer e.usage.End(time.Now(), r.Team)
+	result := c.run(ctx)
+	c.trace.end(result.Outcome)
+	e.meters.requestEnded("service", r.Team, result.Outcome)
+	return result
 }
 
 // run dispatches until one dispatch is answered. Repeating a non-idempotent
@@ -138,12 +153,20 @@
 			continue
 		}
 		c.excluded[u.ID] = true
+		if c.attempt > 0 && !c.mayRetry(ctx) {
+			break
+		}
 		result := c.dispatch(ctx, u)
 		switch {
 		case result == nil:
 			c.uncertain = true
+			c.trace.add(c.attempt, traceLost, string(u.ID)+": no answer")
 		case result.Refused != "":
+			if result.Refused == peer.RefusedUnavailable {
+				c.entry.outliers.failed(u)
+			}
 			c.refusal = "refused: " + string(result.Refused)
+			c.trace.add(c.attempt, traceRefused, string(u.ID)+": "+string(result.Refused))
 		case result.Outcome == request.OutcomeNotRun && c.uncertain:
 			// This dispatch did not run, but an earlier one may have.
 			c.refusal = result.Detail
@@ -155,6 +178,21 @@
 	return c.settle(ctx)
 }
 
+// mayRetry waits for the backoff of another dispatch. It returns false if the
+// team's retry budget is spent or the deadline comes first.
+func (c *call) mayRetry(ctx context.Context) bool {
+	delay, err := c.entry.retries.Retry(time.Now(), c.deadline, c.random, c.request.Team, int(c.attempt))
+	if err != nil {
+		c.refusal = err.Error()
+		c.trace.add(c.attempt, traceRefused, c.refusal)
+		logRetryBudget(c.entry.options.Log, c.request.Team, err)
+		return false
+	}
+	c.entry.meters.redispatched.Inc(1)
+	pause(ctx, delay)
+	return ctx.Err() == nil
+}
+
 // pause waits before all upstreams are tried again.
 func (c *call) pause(ctx context.Context) bool {
 	clear(c.excluded)
@@ -195,6 +233,7 @@
 	u.Acquire()
 	defer u.Release()
 	c.attempt++
+	c.trace.add(c.attempt, traceDispatch, string(u.ID))
 	id := callID{c.request.ID, c.attempt}
 	pending := c.entry.calls.add(id, conn)
 	defer c.entry.calls.remove(id)
@@ -242,7 +281,13 @@
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline.Add(cancelGrace))
 	defer cancel()
-	return settledResult(c.entry.canceller.Cancel(ctx, r))
+	done := c.entry.canceller.Cancel(ctx, r)
+	c.trace.add(c.attempt, traceSettled, string(done.Outcome))
+	if done.Outcome == request.OutcomeUnknown {
+		c.entry.options.Log.Log(events.OperationUnknown).Str("request", string(c.request.ID)).
+			Str("team", c.request.Team).Str("operation", c.request.Service+"/"+c.request.Operation).Err(done.Err).Send()
+	}
+	return settledResult(done)
 }
 
 func settledResult(done operation.Result) callerapi.ServiceResult {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/callerapi"
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/profile"
 	"github.com/nutmegroute/nutmegroute/internal/request"
@@ -35,13 +36,41 @@
 	defer cancel()
 	e.sequences.add(s)
 	defer e.sequences.remove(s.id)
+	if refusal := e.admit(s); refusal != nil {
+		e.usage.Refuse(time.Now(), s.team)
+		s.trace.add(0, traceRefused, refusal.Err.Message)
+		s.trace.end(refusal.Outcome)
+		e.meters.requestEnded("chat", s.team, refusal.Outcome)
+		return callerapi.ChatResult{Result: *refusal}
+	}
+	e.retries.Request(s.team, p.RetryBudget)
+	e.beginWork(s.team)
+	defer e.usage.End(time.Now(), s.team)
 	err := s.run(ctx, func(p request.Piece) error {
 		if p.Text == "" {
 			return nil // the end of an answer carries no text
 		}
 		return token(p.Text)
 	})
-	return s.result(err)
+	result := s.result(err)
+	e.usage.Serve(time.Now(), s.team, len(s.tokens))
+	s.trace.end(result.Outcome)
+	e.meters.requestEnded("chat", s.team, result.Outcome)
+	if result.Outcome != request.OutcomeCompleted && ctx.Err() == nil {
+		e.logFailedChat(s, result)
+	}
+	return result
+}
+
+// logFailedChat reports a request that did not complete although its caller
+// was still waiting.
+func (e *Entry) logFailedChat(s *sequence, result callerapi.ChatResult) {
+	event := events.SequenceIncomplete
+	if result.Outcome == request.OutcomeNotRun {
+		event = events.NoChain
+	}
+	e.options.Log.Log(event).Str("request", string(s.id)).Str("team", s.team).Str("model", s.model).
+		Str("outcome", string(result.Outcome)).Str("reason", result.Err.Message).Send()
 }
 
 func (e *Entry) newSequence(r callerapi.ChatRequest, p profile.Profile) *sequence {
@@ -51,14 +80,19 @@
 		maxTokens = min(maxTokens, r.MaxTokens)
 	}
 	s := &sequence{
-		node: e.node, chooser: e.chooser,
+		peers: e.node.Dialer(), chooser: e.chooser,
 		id: r.ID, team: r.Team, model: p.Model, domains: planner.NewDomains(p.FailureDomains),
 		prompt: prompt, promptTokens: len(prompt)/bytesPerToken + 1, maxTokens: maxTokens,
 		priority:   p.Priority,
 		firstToken: time.Duration(p.FirstTokenMillis) * time.Millisecond,
 		deadline:   time.Now().Add(time.Duration(p.DeadlineMillis) * time.Millisecond),
 		noResume:   p.NoResume,
+		retries:    e.retries,
+		outliers:   e.outliers,
 		star:       e.options.Star,
+		trace:      e.traces.start(r.ID, r.Team, r.Profile),
+		meters:     e.meters,
+		log:        e.options.Log,
 	}
 	s.init()
 	return s
--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -10,9 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/team"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -28,6 +30,9 @@
 	// rebindPause is the wait before a chain is tried again when no other
 	// upstream is left.
 	rebindPause = 100 * time.Millisecond
+	// freeReplacements is the number of times that lost stages are replaced
+	// without drawing on the team's retry budget.
+	freeReplacements = 2
 	// chainRetry is the wait before a chain is looked for again.
 	chainRetry = 20 * time.Millisecond
 )
@@ -35,21 +40,21 @@
 // binding is a stage bound to the current attempt.
 type binding struct {
 	planner.Stage
-	conn   *peer.Conn
+	conn   peer.Sender
 	next   request.Position
 	opened bool
 }
 
 // sequenceEvent is a frame for a sequence, or the loss of a connection.
 type sequenceEvent struct {
-	conn  *peer.Conn
+	conn  peer.Sender
 	frame peer.Frame
 }
 
 // sequence drives one language-model request over a chain of stages. It is
 // the only process that raises the attempt.
 type sequence struct {
-	node    *peer.Node
+	peers   peer.Dialer
 	chooser chooser
 	random  *rand.Rand
 
@@ -79,7 +84,15 @@
 	ended      bool
 
 	usedPromptTokens int
-	onEvent          func(kind, detail string)
+	retries          *team.RetryBudget
+	outliers         *outliers
+	trace            *trace
+	meters           *meters
+	log              *events.Logger
+	// lastToken is when the latest token arrived, and lostAt when a stage was
+	// lost since then; zero if none.
+	lastToken time.Time
+	lostAt    time.Time
 
 	mu     sync.Mutex
 	events []sequenceEvent
@@ -144,7 +157,7 @@
 	for {
 		decision, err := s.chooser.chain(s.random, s.planRequest())
 		if err == nil {
-			s.record("chain-chosen", decision.String())
+			s.trace.chose(decision)
 			s.setChain(decision.Chain)
 			return nil
 		}
@@ -232,11 +245,11 @@
 	var wg sync.WaitGroup
 	for i := range s.stages {
 		b := &s.stages[i]
-		if b.conn = s.node.Connection(b.Address); b.conn != nil {
+		if b.conn = s.peers.Connection(b.Address); b.conn != nil {
 			continue
 		}
 		wg.Go(func() {
-			conn, err := s.node.Dial(ctx, b.Address)
+			conn, err := s.peers.Dial(ctx, b.Address)
 			mu.Lock()
 			defer mu.Unlock()
 			b.conn = conn
@@ -308,7 +321,7 @@
 }
 
 // stageOf returns the index of the stage behind conn, or -1.
-func (s *sequence) stageOf(conn *peer.Conn) int {
+func (s *sequence) stageOf(conn peer.Sender) int {
 	for i := range s.stages {
 		if s.stages[i].conn == conn {
 			return i
@@ -428,6 +441,9 @@
 	case peer.FailedDeadline:
 		return errExpired
 	}
+	if f.Reason == peer.FailedEngine {
+		s.outliers.failed(s.stages[i].Upstream)
+	}
 	if j := s.blame(i, f); j >= 0 {
 		lost[j] = string(f.Reason) + ": " + f.Detail
 	}
@@ -446,6 +462,7 @@
 	}
 	for _, piece := range ready {
 		s.ran = true
+		s.observeToken(time.Now())
 		s.tokens = append(s.tokens, piece.Token)
 		s.ended = piece.End || len(s.tokens) >= s.maxTokens
 		if !s.ended {
@@ -467,15 +484,18 @@
 // another upstream is tried again after a pause; it keeps its cursor if it is
 // alive, and starts anew otherwise.
 func (s *sequence) replaceLost(ctx context.Context, lost map[int]string) error {
+	if s.lostAt.IsZero() {
+		s.lostAt = time.Now()
+	}
 	for _, i := range slices.Sorted(maps.Keys(lost)) {
-		s.record("stage-lost", fmt.Sprintf("%s: %s", s.stages[i].ID, lost[i]))
+		s.trace.add(s.attempt, traceLost, fmt.Sprintf("%s: %s", s.stages[i].ID, lost[i]))
 		s.excluded = append(s.excluded, s.stages[i].ID)
 		if i == 0 && s.unresolved {
 			s.ran = true
 		}
 	}
 	stages := make([]binding, 0, len(s.stages))
-	pause := false
+	exhausted := false
 	for i, b := range s.stages {
 		if _, bad := lost[i]; !bad {
 			stages = append(stages, b)
@@ -483,13 +503,13 @@
 		}
 		replacements, err := s.chooser.replace(s.random, s.chain, i, s.planRequest())
 		if err != nil {
-			pause = true
+			exhausted = true
 			stages = append(stages, binding{Stage: b.Stage})
 			continue
 		}
 		s.abandon(b)
 		for _, r := range replacements {
-			s.record("stage-replaced", fmt.Sprintf("%s by %s", b.ID, r.ID))
+			s.stageReplaced(b.ID, r.ID, lost[i])
 			r.Upstream.Acquire()
 			stages = append(stages, binding{Stage: r})
 		}
@@ -499,10 +519,27 @@
 	for _, b := range stages {
 		s.chain.Stages = append(s.chain.Stages, b.Stage)
 	}
-	if pause {
+	if exhausted {
 		return s.waitForUpstream(ctx)
 	}
-	return nil
+	return s.backOff(ctx)
+}
+
+// backOff delays and limits repeated replacements. The first freeReplacements
+// of a sequence are immediate and not counted, because the loss of one upstream
+// hits many sequences at once and each of their callers is waiting.
+func (s *sequence) backOff(ctx context.Context) error {
+	repeated := int(s.attempt) - freeReplacements
+	if repeated <= 0 {
+		return nil
+	}
+	delay, err := s.retries.Retry(time.Now(), s.deadline, s.random, s.team, repeated)
+	if err != nil {
+		logRetryBudget(s.log, s.team, err)
+		return fmt.Errorf("%w: %w", errStageLost, err)
+	}
+	pause(ctx, delay)
+	return ctx.Err()
 }
 
 // waitForUpstream pauses when every upstream that could take over has been
@@ -534,9 +571,3 @@
 
 // mayHaveRun reports whether an engine may have run a step.
 func (s *sequence) mayHaveRun() bool { return s.ran || s.unresolved }
-
-func (s *sequence) record(kind, detail string) {
-	if s.onEvent != nil {
-		s.onEvent(kind, detail)
-	}
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -88,8 +88,6 @@
 	Domains   []string
 }
 
-func (e Exclude) empty() bool { return len(e.Upstreams) == 0 && len(e.Domains) == 0 }
-
 func (e Exclude) upstream(id upstream.InstanceID) bool { return slices.Contains(e.Upstreams, id) }
 
 // Request says what a chain is chosen for.
@@ -246,7 +244,7 @@
 				worst = i
 			}
 		}
-		if float64(t.planned) < float64(result[worst].planned) {
+		if float64(t.planned) < (1-Hysteresis)*float64(result[worst].planned) {
 			result[worst] = t
 		}
 	}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -6,15 +6,20 @@
 	"sync"
 	"time"
 
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/service"
+	"github.com/nutmegroute/nutmegroute/internal/team"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
 // Service is the part of the plain service's client that a sidecar uses.
 type Service interface {
 	Call(ctx context.Context, r service.Request) (service.Response, error)
+	// Probe returns an error if the service can't be reached.
+	Probe(ctx context.Context) error
 }
 
 // callID identifies one dispatch of a request.
@@ -28,7 +33,10 @@
 	service Service
 	claimer *operation.Claimer
 	limit   int
-	slots   chan struct{}
+	queue   *callQueue
+	served  *team.Counters
+	health  *healthCheck
+	log     *events.Logger
 
 	mu     sync.Mutex
 	active map[callID]context.CancelFunc
@@ -38,10 +46,11 @@
 
 // newCalls returns calls with at most running calls at the service and limit
 // calls in all.
-func newCalls(s Service, claimer *operation.Claimer, running, limit int) *calls {
+func newCalls(s Service, claimer *operation.Claimer, running, limit int, health *healthCheck, log *events.Logger) *calls {
 	return &calls{
-		service: s, claimer: claimer, limit: limit,
-		slots:  make(chan struct{}, running),
+		service: s, claimer: claimer, limit: limit, health: health, log: log,
+		queue:  newCallQueue(running),
+		served: team.NewCounters(time.Now()),
 		active: make(map[callID]context.CancelFunc),
 	}
 }
@@ -73,6 +82,8 @@
 	switch {
 	case c.draining:
 		return peer.RefusedLeaving
+	case !c.health.usable():
+		return peer.RefusedUnavailable
 	case len(c.active) >= c.limit:
 		return peer.RefusedQueueFull
 	case c.active[id] != nil:
@@ -106,6 +117,16 @@
 	c.draining = true
 }
 
+// load returns the load of the service and of each team.
+func (c *calls) load() (upstream.Load, []peer.TeamLoad) {
+	running, waiting := c.queue.load()
+	load := upstream.Load{Running: running}
+	for _, n := range waiting {
+		load.Queued += n
+	}
+	return load, teamLoads(c.served, waiting)
+}
+
 // Len returns the number of calls in progress.
 func (c *calls) Len() int {
 	c.mu.Lock()
@@ -115,13 +136,14 @@
 
 func (c *calls) run(ctx context.Context, call *peer.Call) *peer.CallResult {
 	result := &peer.CallResult{Request: call.Request, Attempt: call.Attempt}
-	select {
-	case c.slots <- struct{}{}:
-		defer func() { <-c.slots }()
-	case <-ctx.Done():
+	if err := c.queue.acquire(ctx, call.Team); err != nil {
+		c.served.Refuse(time.Now(), call.Team)
 		result.Outcome, result.Refused = request.OutcomeNotRun, peer.RefusedDeadline
 		return result
 	}
+	defer c.queue.release()
+	c.served.Admit(time.Now(), call.Team)
+	defer c.served.Serve(time.Now(), call.Team, 1)
 	if call.NonIdempotent {
 		c.runClaimed(ctx, call, result)
 	} else {
@@ -132,7 +154,7 @@
 
 // runPlain runs a call that may be repeated.
 func (c *calls) runPlain(ctx context.Context, call *peer.Call, result *peer.CallResult) {
-	response, err := c.service.Call(ctx, serviceRequest(call))
+	response, err := c.callService(ctx, call)
 	switch {
 	case err == nil:
 		result.Outcome = outcomeOf(response.Status)
@@ -144,6 +166,15 @@
 	}
 }
 
+// callService calls the service and asks for a probe if it did not answer.
+func (c *calls) callService(ctx context.Context, call *peer.Call) (service.Response, error) {
+	response, err := c.service.Call(ctx, serviceRequest(call))
+	if err != nil {
+		c.health.ask()
+	}
+	return response, err
+}
+
 func outcomeOf(status int) request.Outcome {
 	if status >= 400 {
 		return request.OutcomeFailed
@@ -159,13 +190,35 @@
 		return
 	}
 	done := c.claimer.Run(ctx, r, func(ctx context.Context) (operation.Response, error) {
-		response, err := c.service.Call(ctx, serviceRequest(call))
+		response, err := c.callService(ctx, call)
 		if errors.Is(err, service.ErrNotSent) {
 			return operation.Response{}, errors.Join(operation.ErrNotSent, err)
 		}
 		return operation.Response{Status: response.Status, ContentType: response.ContentType, Body: response.Body}, err
 	})
 	fillResult(result, done)
+	c.logClaimed(call, done)
+}
+
+// logClaimed reports the ends of claimed calls that an operator wants to know.
+func (c *calls) logClaimed(call *peer.Call, done operation.Result) {
+	var event events.Event
+	switch {
+	case errors.Is(done.Err, operation.ErrBodyMismatch):
+		event = events.RecordMismatch
+	case done.Outcome == request.OutcomeUnknown:
+		event = events.OperationUnknown
+	case done.Outcome == request.OutcomeNotRun && errors.Is(done.Err, operation.ErrUnavailable):
+		event = events.OperationRefused
+	case done.Outcome == request.OutcomeNotRun && errors.Is(done.Err, operation.ErrNotSent):
+		event = events.OperationReleased
+	case done.Replayed:
+		event = events.OperationReplayed
+	default:
+		return
+	}
+	c.log.Log(event).Str("request", string(call.Request)).Str("team", call.Team).
+		Str("operation", call.Service+"/"+call.Operation).Err(done.Err).Send()
 }
 
 func fillResult(result *peer.CallResult, done operation.Result) {
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -37,6 +37,9 @@
 	cancelBacklog = 1024
 	// stepSmoothing is the weight of a new sample of the step duration.
 	stepSmoothing = 0.2
+	// mixMemory is the number of work items over which the part that starts
+	// sequences is averaged: about two seconds of a busy engine.
+	mixMemory = 2048
 )
 
 // work is one or more consecutive steps of a sequence that wait for or run on
@@ -84,6 +87,10 @@
 	limits   schedulerLimits
 	finished func(*work, []engine.StepResult)
 	failed   func(*work, peer.FailureReason, string)
+	// engineFailed is called after a call that the engine did not answer.
+	engineFailed func()
+	// fifo serves all work in the order of arrival.
+	fifo bool
 
 	desc atomic.Pointer[upstream.Descriptor]
 
@@ -93,7 +100,11 @@
 	running int
 	wakeup  chan struct{}
 
-	served     *teamCounters
+	served *team.Counters
+	// servedCost and startCost are decaying sums of the served cost, and of the
+	// part of it that started sequences. Guarded by mu.
+	servedCost, startCost float64
+
 	stepMicros atomic.Int64
 	cancels    chan string
 }
@@ -108,7 +119,7 @@
 		queue:   team.NewFairQueue[*work](team.QueueLimits{}),
 		waiting: make(map[request.ID]*work),
 		wakeup:  make(chan struct{}, 1),
-		served:  newTeamCounters(),
+		served:  team.NewCounters(time.Now()),
 		cancels: make(chan string, cancelBacklog),
 	}
 	s.desc.Store(&desc)
@@ -117,6 +128,8 @@
 
 func (s *scheduler) descriptor() upstream.Descriptor { return *s.desc.Load() }
 
+func (s *scheduler) setDescriptor(d upstream.Descriptor) { s.desc.Store(&d) }
+
 // setWeight sets the share of a team.
 func (s *scheduler) setWeight(name string, weight float64) {
 	s.mu.Lock()
@@ -133,14 +146,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fullFor(open.Team, open.PromptTokens) {
-		s.served.refuse(open.Team)
+		s.served.Refuse(time.Now(), open.Team)
 		return peer.RefusedQueueFull
 	}
 	if s.estimatedWait() > time.Duration(open.DeadlineMillis)*time.Millisecond {
-		s.served.refuse(open.Team)
+		s.served.Refuse(time.Now(), open.Team)
 		return peer.RefusedDeadline
 	}
-	s.served.admit(open.Team)
+	s.served.Admit(time.Now(), open.Team)
 	return ""
 }
 
@@ -168,11 +181,16 @@
 
 // push queues a work item.
 func (s *scheduler) push(w *work) {
-	s.mu.Lock()
-	ticket, err := s.queue.Push(team.Item[*work]{
+	item := team.Item[*work]{
 		Team: w.team, Priority: w.priority, Continues: w.continues,
 		Cost: w.cost, Deadline: w.deadline, Value: w,
-	})
+	}
+	if s.fifo {
+		// Items of one team and class are served in the order of arrival.
+		item.Team, item.Priority, item.Continues = "", 0, false
+	}
+	s.mu.Lock()
+	ticket, err := s.queue.Push(item)
 	if err == nil {
 		w.ticket = ticket
 		s.waiting[w.request] = w
@@ -241,7 +259,11 @@
 	bctx, cancel := context.WithTimeout(ctx, batchTimeout)
 	response, err := s.engine.Batch(bctx, engine.BatchRequest{Steps: steps})
 	cancel()
-	s.observeStep(time.Since(start))
+	if err != nil {
+		s.engineFailed()
+	} else {
+		s.observeStep(time.Since(start))
+	}
 	next := 0
 	for _, w := range batch {
 		if err != nil {
@@ -261,7 +283,8 @@
 			return
 		}
 	}
-	s.served.serve(w.team, w.cost)
+	s.served.Serve(time.Now(), w.team, w.cost)
+	s.observeMix(w)
 	s.finished(w, results)
 }
 
@@ -308,6 +331,18 @@
 	s.stepMicros.Store(old + int64(stepSmoothing*float64(sample-old)))
 }
 
+// observeMix averages the part of the served cost that started sequences.
+func (s *scheduler) observeMix(w *work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	const keep = 1 - 1.0/mixMemory
+	s.servedCost = s.servedCost*keep + float64(w.cost)
+	s.startCost *= keep
+	if !w.continues {
+		s.startCost += float64(w.cost)
+	}
+}
+
 // cancel frees a sequence's KV cache in the background. If the backlog is
 // full, the engine's own eviction frees it.
 func (s *scheduler) cancel(id string) {
@@ -335,5 +370,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := upstream.Load{Queued: s.queue.Cost(), Running: s.running, StepMicros: s.stepMicros.Load()}
-	return load, s.served.report(s.queue.TeamCosts(), time.Now())
+	if s.servedCost > 0 {
+		load.StartFraction = s.startCost / s.servedCost
+	}
+	return load, teamLoads(s.served, s.queue.TeamCosts())
+}
+
+// teamLoads joins what was served for each team with what waits.
+func teamLoads(served *team.Counters, queued map[string]int) []peer.TeamLoad {
+	var teams []peer.TeamLoad
+	for _, u := range served.Report(time.Now()) {
+		teams = append(teams, peer.TeamLoad{
+			Team: u.Team, QueuedTokens: queued[u.Team], TokensPerSecond: u.TokensPerSecond,
+			Admitted: u.Admitted, Refused: u.Refused,
+		})
+	}
+	return teams
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -18,9 +19,10 @@
 	"github.com/nutmegroute/nutmegroute/internal/configsync"
 	"github.com/nutmegroute/nutmegroute/internal/engine"
 	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/lease"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
-	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
@@ -35,8 +37,6 @@
 	infoRetry = 200 * time.Millisecond
 	// seedInterval is the time between attempts to reach the seeds.
 	seedInterval = time.Second
-	// headerTimeout bounds the reading of request headers.
-	headerTimeout = 5 * time.Second
 	// recordTimeout bounds the wait for outcomes of claims at a planned stop.
 	recordTimeout = 30 * time.Second
 )
@@ -70,19 +70,34 @@
 	// MaxQueueTokens bounds the cost of the waiting work. Default 1048576
 	// tokens.
 	MaxQueueTokens int
-	// OutputLogBytes bounds the output log of one sequence. Default 64 MiB.
+	// OutputLogBytes bounds the output logs of all sequences together. Default
+	// 64 MiB.
 	OutputLogBytes int
 	// DrainTimeout bounds a planned stop. Default 10 min.
 	DrainTimeout time.Duration
+	// FIFO serves steps in the order of arrival instead of the fair queue. It is
+	// the baseline of the measurements. Default false.
+	FIFO bool
+	// StepwiseReplay runs the steps of a replayed log one by one instead of as
+	// one work item. It exists to measure what that gains. Default false.
+	StepwiseReplay bool
+	// NoCoalescing writes each frame between processes as a message of its
+	// own. It exists to measure what coalescing gains. Default false.
+	NoCoalescing bool
+	// Dial makes the connections to peers. Default net.Dialer.
+	Dial peer.DialFunc
 
+	// TLS protects the peer connections. Default nil: plain TCP.
+	TLS *tls.Config
 	// Engine is set for an upstream that is a model engine.
 	Engine Engine
 	// Service, ServiceName and Claimer are set for a plain service.
 	Service     Service
 	ServiceName string
 	Claimer     *operation.Claimer
-	// Records is the platform's store; the sidecar reads fencing numbers there.
-	Records *recordstore.Store
+	// Leases is the platform's store of leases; the sidecar of an engine reads
+	// fencing numbers there.
+	Leases lease.Store
 	// Log receives events. Default none.
 	Log *events.Logger
 	// Metrics serves the metrics page. Default none.
@@ -90,27 +105,20 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.HeartbeatInterval, 250*time.Millisecond)
-	setDefault(&o.SuspectAfter, time.Second)
-	setDefault(&o.MaxBatch, 32)
-	setDefault(&o.MaxQueue, 1024)
-	setDefault(&o.MaxQueueTokens, 1<<20)
-	setDefault(&o.OutputLogBytes, 64<<20)
-	setDefault(&o.DrainTimeout, 10*time.Minute)
-	setDefault(&o.Log, events.Nop())
+	process.SetDefault(&o.HeartbeatInterval, 250*time.Millisecond)
+	process.SetDefault(&o.SuspectAfter, time.Second)
+	process.SetDefault(&o.MaxBatch, 32)
+	process.SetDefault(&o.MaxQueue, 1024)
+	process.SetDefault(&o.MaxQueueTokens, 1<<20)
+	process.SetDefault(&o.OutputLogBytes, 64<<20)
+	process.SetDefault(&o.DrainTimeout, 10*time.Minute)
+	process.SetDefault(&o.Log, events.Nop())
 	if o.Metrics == nil {
 		o.Metrics = http.NotFoundHandler()
 	}
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func attemptString(a request.Attempt) string { return strconv.FormatUint(uint64(a), 10) }
 
 // Sidecar is one sidecar process.
@@ -148,14 +156,23 @@
 		Role: peer.RoleSidecar, ID: options.ID, Address: options.Advertise, FailureDomain: options.FailureDomain,
 	}, s, func() uint64 { return uint64(s.replica.Revision()) }, peer.Options{
 		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
+		NoCoalescing: options.NoCoalescing, Dial: options.Dial, TLS: options.TLS,
+	})
+	s.sync = configsync.New(s.node, s.replica, func(err error) {
+		options.Log.Log(events.RevisionBehind).Err(err).Send()
 	})
-	s.sync = configsync.New(s.node, s.replica, func(error) {})
 	return s, nil
 }
 
 // Address returns the peer address that others are told.
 func (s *Sidecar) Address() string { return s.options.Advertise }
 
+// Revision returns the revision of the configuration in force.
+func (s *Sidecar) Revision() uint64 { return uint64(s.replica.Revision()) }
+
+// SentBytes returns the bytes of frames that were sent to peers.
+func (s *Sidecar) SentBytes() uint64 { return s.node.SentBytes() }
+
 // Run serves until ctx ends, then finishes what is in progress. It returns
 // nil after a graceful stop.
 func (s *Sidecar) Run(ctx context.Context) error {
@@ -166,35 +183,28 @@
 	defer stopWork()
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, s.node)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	status := &http.Server{Handler: s.statusHandler(), ReadHeaderTimeout: headerTimeout}
+	server, status := process.NewServer(mux), process.NewServer(s.statusHandler())
 
-	var g errgroup.Group
-	g.Go(func() error { return serve(server, s.listener) })
+	g, failed := errgroup.WithContext(work)
+	g.Go(func() error { return process.Serve(server, s.listener, s.options.TLS) })
 	if s.metricsListener != nil {
-		g.Go(func() error { return serve(status, s.metricsListener) })
+		g.Go(func() error { return process.Serve(status, s.metricsListener, nil) })
+	}
+	for _, loop := range []func(context.Context){s.worker.run, s.heartbeatLoop, s.sync.Run, s.weightLoop, s.seedLoop} {
+		g.Go(func() error { loop(work); return nil })
 	}
-	g.Go(func() error { s.worker.run(work); return nil })
-	g.Go(func() error { s.heartbeatLoop(work); return nil })
-	g.Go(func() error { s.sync.Run(work); return nil })
-	g.Go(func() error { s.weightLoop(work); return nil })
-	g.Go(func() error { s.seedLoop(work); return nil })
 
-	<-ctx.Done()
-	s.startLeaving()
-	s.waitIdle()
+	var err error
+	select {
+	case <-ctx.Done():
+		err = s.drain()
+	case <-failed.Done():
+	}
 	stopWork()
 	s.node.Close()
 	_ = server.Close()
 	_ = status.Close()
-	return g.Wait()
-}
-
-func serve(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return errors.Join(err, g.Wait())
 }
 
 // statusHandler serves /healthz, /readyz and /metrics.
@@ -249,57 +259,93 @@
 	if info.MaxBatch > 0 {
 		maxBatch = min(maxBatch, info.MaxBatch)
 	}
-	scheduler := newScheduler(s.options.Engine, upstream.Descriptor{
+	health := newHealthCheck(func(ctx context.Context) error {
+		_, err := s.options.Engine.Info(ctx)
+		return err
+	}, s.announce)
+	stage := NewStage(s.node.Dialer(), s.options.Engine, s.describe(info, maxBatch), StageOptions{
+		MaxBatch: maxBatch, MaxQueue: s.options.MaxQueue, MaxQueueTokens: s.options.MaxQueueTokens,
+		OutputLogBytes: s.options.OutputLogBytes, FIFO: s.options.FIFO, StepwiseReplay: s.options.StepwiseReplay,
+		Usable: health.usable, EngineFailed: health.ask,
+	})
+	w := &engineWorker{scheduler: stage.scheduler, stage: stage, health: health}
+	w.orders = &orders{
+		engine: s.options.Engine, leases: s.options.Leases, group: s.options.Group,
+		stage: stage, health: health, log: s.options.Log,
+		done: func(info engine.Info) {
+			stage.scheduler.setDescriptor(s.describe(info, maxBatch))
+			s.announce()
+		},
+	}
+	return w
+}
+
+// describe turns what an engine says of itself into the descriptor that
+// entries get.
+func (s *Sidecar) describe(info engine.Info, maxBatch int) upstream.Descriptor {
+	return upstream.Descriptor{
 		Kind: upstream.KindEngine, Group: s.options.Group,
 		Model: info.Model, ModelLayers: info.ModelLayers, Layers: info.Layers,
 		Accelerator: info.Accelerator, MaxBatch: maxBatch, Version: info.Version,
-	}, schedulerLimits{batch: maxBatch, items: s.options.MaxQueue, tokens: s.options.MaxQueueTokens})
-	stage := newStage(s.node, scheduler, s.options.OutputLogBytes, time.Now)
-	return &engineWorker{scheduler: scheduler, stage: stage}
+	}
 }
 
 func (s *Sidecar) newServiceWorker() *serviceWorker {
+	health := newHealthCheck(s.options.Service.Probe, s.announce)
 	return &serviceWorker{
+		health: health,
 		desc: upstream.Descriptor{
 			Kind: upstream.KindService, Group: s.options.Group,
 			Service: s.options.ServiceName, MaxBatch: s.options.MaxBatch,
 		},
-		calls: newCalls(s.options.Service, s.options.Claimer, s.options.MaxBatch, s.options.MaxQueue),
+		calls: newCalls(s.options.Service, s.options.Claimer, s.options.MaxBatch, s.options.MaxQueue, health, s.options.Log),
 	}
 }
 
 func (s *Sidecar) state() upstream.State {
-	if s.leaving.Load() {
+	switch {
+	case s.leaving.Load():
 		return upstream.StateLeaving
+	case !s.worker.usable():
+		return upstream.StateJoining
 	}
 	return upstream.StateReady
 }
 
+// announce tells the entries the current state at once.
+func (s *Sidecar) announce() {
+	desc := s.worker.descriptor()
+	s.node.UpdateHello(func(h *peer.Hello) { h.State, h.Upstream = s.state(), desc })
+	heartbeat := s.heartbeat()
+	heartbeat.Upstream = &desc
+	s.node.Broadcast(heartbeat, peer.RoleEntry)
+}
+
 // startLeaving refuses new work from now on and announces it.
 func (s *Sidecar) startLeaving() {
 	if s.leaving.Swap(true) {
 		return
 	}
 	s.worker.drain()
-	s.node.UpdateHello(func(h *peer.Hello) { h.State = upstream.StateLeaving })
-	s.node.Broadcast(s.heartbeat(), peer.RoleEntry)
+	s.announce()
 }
 
-// waitIdle waits until no work is in progress, up to the drain timeout.
-func (s *Sidecar) waitIdle() {
+// drain refuses new work and waits until none is in progress. It returns
+// process.ErrDrainTimeout if some was interrupted.
+func (s *Sidecar) drain() error {
+	s.startLeaving()
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.DrainTimeout)
 	defer cancel()
-	for !s.worker.idle() && ctx.Err() == nil {
-		time.Sleep(drainPoll)
-	}
+	err := process.WaitIdle(ctx, s.worker.idle)
 	if s.options.Claimer != nil {
 		rctx, cancel := context.WithTimeout(ctx, recordTimeout)
 		defer cancel()
-		_ = s.options.Claimer.Wait(rctx)
+		err = errors.Join(err, s.options.Claimer.Wait(rctx))
 	}
 	for _, c := range s.node.Conns() {
 		c.Flush(ctx)
 	}
+	return err
 }
 
 func (s *Sidecar) heartbeat() *peer.Heartbeat {
@@ -360,13 +406,16 @@
 
 // Connected implements peer.Handler.
 func (s *Sidecar) Connected(c *peer.Conn) {
+	s.options.Log.Log(events.PeerConnected).Str("peer", c.Hello().ID).Str("address", c.Hello().Address).Send()
 	if c.Hello().Role == peer.RoleEntry {
 		_ = c.Send(s.heartbeat())
 	}
 }
 
 // Disconnected implements peer.Handler.
-func (s *Sidecar) Disconnected(c *peer.Conn, _ error) {
+func (s *Sidecar) Disconnected(c *peer.Conn, err error) {
+	s.options.Log.Log(events.PeerDisconnected).Str("peer", c.Hello().ID).Str("address", c.Hello().Address).
+		Bool("silent", c.Idle()).Err(err).Send()
 	s.sync.Disconnected(c)
 	s.worker.disconnected(c)
 }
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -9,6 +9,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/pipeline"
 	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
 const (
@@ -28,7 +29,7 @@
 // sequence is one request's state at this stage.
 type sequence struct {
 	open     peer.OpenSequence
-	entry    *peer.Conn
+	entry    peer.Sender
 	cursor   pipeline.Cursor
 	log      *pipeline.OutputLog
 	pending  map[request.Position]*peer.Step
@@ -41,16 +42,22 @@
 // Stage runs the sequences of one engine. It owns their cursors and output
 // logs.
 type Stage struct {
-	node      *peer.Node
+	peers     peer.Dialer
 	scheduler *scheduler
-	logBytes  int
+	logs      *pipeline.LogBudget
 	now       func() time.Time
+	// usable reports whether the engine answers.
+	usable func() bool
+	// stepwise runs the steps of a replayed log one by one.
+	stepwise bool
 
 	mu        sync.Mutex
 	sequences map[request.ID]*sequence
 	closed    map[request.ID]closedSequence
 	// draining refuses sequences that the stage does not hold yet.
 	draining bool
+	// paused refuses them for the time of an order to the engine.
+	paused bool
 }
 
 // closedSequence remembers a sequence that ended.
@@ -59,33 +66,57 @@
 	at      time.Time
 }
 
-// newStage returns a Stage that hands steps to the scheduler.
-func newStage(node *peer.Node, s *scheduler, logBytes int, now func() time.Time) *Stage {
+// StageOptions configure a Stage. Options describes the fields with the same
+// names.
+type StageOptions struct {
+	MaxBatch       int
+	MaxQueue       int
+	MaxQueueTokens int
+	OutputLogBytes int
+	FIFO           bool
+	StepwiseReplay bool
+	// Usable reports whether the engine answers.
+	Usable func() bool
+	// EngineFailed is called after a call that the engine did not answer.
+	EngineFailed func()
+}
+
+// NewStage returns a Stage that runs steps on the engine that desc describes.
+// It serves once Run is called.
+func NewStage(peers peer.Dialer, e Engine, desc upstream.Descriptor, o StageOptions) *Stage {
+	s := newScheduler(e, desc, schedulerLimits{batch: o.MaxBatch, items: o.MaxQueue, tokens: o.MaxQueueTokens})
 	stage := &Stage{
-		node:      node,
+		peers:     peers,
 		scheduler: s,
-		logBytes:  logBytes,
-		now:       now,
+		logs:      pipeline.NewLogBudget(o.OutputLogBytes),
+		now:       time.Now,
+		usable:    o.Usable,
+		stepwise:  o.StepwiseReplay,
 		sequences: make(map[request.ID]*sequence),
 		closed:    make(map[request.ID]closedSequence),
 	}
+	s.fifo = o.FIFO
+	s.engineFailed = o.EngineFailed
 	s.finished = stage.finishStep
 	s.failed = stage.failStep
 	return stage
 }
 
+// Run feeds the engine until ctx ends.
+func (s *Stage) Run(ctx context.Context) { s.scheduler.Run(ctx) }
+
 // Open binds the stage to an attempt and answers with the cursor, after the
 // connection to the next stage stands. A sequence that the stage holds is
 // accepted even while the upstream is leaving.
-func (s *Stage) Open(entry *peer.Conn, open *peer.OpenSequence) {
-	if open.Downstream == "" || s.node.Connection(open.Downstream) != nil {
+func (s *Stage) Open(entry peer.Sender, open *peer.OpenSequence) {
+	if open.Downstream == "" || s.peers.Connection(open.Downstream) != nil {
 		s.bind(entry, open)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
-		if _, err := s.node.Dial(ctx, open.Downstream); err != nil {
+		if _, err := s.peers.Dial(ctx, open.Downstream); err != nil {
 			_ = entry.Send(&peer.SequenceFailed{
 				Request: open.Request, Attempt: open.Attempt,
 				Reason: peer.FailedDownstream, Downstream: open.Downstream, Detail: err.Error(),
@@ -96,7 +127,7 @@
 	}()
 }
 
-func (s *Stage) bind(entry *peer.Conn, open *peer.OpenSequence) {
+func (s *Stage) bind(entry peer.Sender, open *peer.OpenSequence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answer := &peer.SequenceOpened{Request: open.Request, Attempt: open.Attempt}
@@ -108,7 +139,7 @@
 	_ = entry.Send(answer)
 }
 
-func (s *Stage) bindLocked(entry *peer.Conn, open *peer.OpenSequence) (*sequence, peer.RefusalReason) {
+func (s *Stage) bindLocked(entry peer.Sender, open *peer.OpenSequence) (*sequence, peer.RefusalReason) {
 	seq := s.sequences[open.Request]
 	if seq == nil {
 		if closed, ok := s.closed[open.Request]; ok && open.Attempt <= closed.attempt {
@@ -117,6 +148,9 @@
 		if s.draining {
 			return nil, peer.RefusedLeaving
 		}
+		if s.paused || !s.usable() {
+			return nil, peer.RefusedUnavailable
+		}
 		if reason := s.scheduler.admit(open); reason != "" {
 			return nil, reason
 		}
@@ -133,7 +167,7 @@
 
 func (s *Stage) newSequence(open *peer.OpenSequence) *sequence {
 	seq := &sequence{
-		log:      pipeline.NewOutputLog(s.logBytes),
+		log:      pipeline.NewOutputLog(s.logs),
 		pending:  make(map[request.Position]*peer.Step),
 		engineID: engineSequenceID(open.Request, open.Attempt),
 		deadline: s.now().Add(time.Duration(open.DeadlineMillis) * time.Millisecond),
@@ -188,7 +222,7 @@
 // scheduler. The caller holds s.mu.
 func (s *Stage) startStep(seq *sequence, step *peer.Step) {
 	steps := []*peer.Step{step}
-	for next, ok := seq.pending[step.Position+1]; ok; next, ok = seq.pending[next.Position+1] {
+	for next, ok := seq.pending[step.Position+1]; ok && !s.stepwise; next, ok = seq.pending[next.Position+1] {
 		delete(seq.pending, next.Position)
 		steps = append(steps, next)
 	}
@@ -275,7 +309,7 @@
 		_ = seq.entry.Send(step)
 		return
 	}
-	conn := s.node.Connection(seq.open.Downstream)
+	conn := s.peers.Connection(seq.open.Downstream)
 	if conn == nil || conn.Send(step) != nil {
 		s.reportFailure(seq, peer.FailedDownstream, "connection lost")
 	}
@@ -321,13 +355,14 @@
 		return
 	}
 	delete(s.sequences, id)
+	seq.log.Release()
 	s.scheduler.drop(id)
 	s.scheduler.cancel(seq.engineID)
 }
 
 // Disconnected handles the end of a connection: sequences of an entry become
 // orphans, and sequences whose next stage is lost are reported.
-func (s *Stage) Disconnected(c *peer.Conn, dialedAddress string) {
+func (s *Stage) Disconnected(c peer.Sender, dialedAddress string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, seq := range s.sequences {
@@ -347,6 +382,14 @@
 	s.draining = true
 }
 
+// Pause refuses sequences that the stage does not hold yet while an order to
+// the engine is under way.
+func (s *Stage) Pause(paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = paused
+}
+
 // Sweep removes orphans, sequences past their deadline, and old memories of
 // closed sequences.
 func (s *Stage) Sweep() {
--- a/internal/sidecar/worker.go
+++ b/internal/sidecar/worker.go
@@ -22,6 +22,8 @@
 	drain()
 	// idle reports whether no work is in progress.
 	idle() bool
+	// usable reports whether the upstream answers.
+	usable() bool
 	// setWeight sets the share of a team.
 	setWeight(team string, weight float64)
 	// load reports the load of the upstream and of each team.
@@ -32,12 +34,15 @@
 type engineWorker struct {
 	scheduler *scheduler
 	stage     *Stage
+	health    *healthCheck
+	orders    *orders
 }
 
 func (w *engineWorker) descriptor() upstream.Descriptor { return w.scheduler.descriptor() }
 
 func (w *engineWorker) run(ctx context.Context) {
 	go w.sweepLoop(ctx)
+	go w.health.Run(ctx)
 	w.scheduler.Run(ctx)
 }
 
@@ -64,6 +69,8 @@
 		w.stage.Step(f)
 	case *peer.CloseSequence:
 		w.stage.Close(f)
+	case *peer.Order:
+		w.orders.Handle(c, f)
 	default:
 		return false
 	}
@@ -72,6 +79,8 @@
 
 func (w *engineWorker) disconnected(c *peer.Conn) { w.stage.Disconnected(c, c.DialedAddress()) }
 
+func (w *engineWorker) usable() bool { return w.health.usable() }
+
 func (w *engineWorker) setWeight(team string, weight float64) { w.scheduler.setWeight(team, weight) }
 
 func (w *engineWorker) drain() { w.stage.Drain() }
@@ -86,14 +95,16 @@
 
 // serviceWorker serves a plain service.
 type serviceWorker struct {
-	desc  upstream.Descriptor
-	calls *calls
+	desc   upstream.Descriptor
+	calls  *calls
+	health *healthCheck
 }
 
 func (w *serviceWorker) descriptor() upstream.Descriptor { return w.desc }
 
-// run waits until the outcomes of all claims are recorded.
-func (w *serviceWorker) run(ctx context.Context) { <-ctx.Done() }
+func (w *serviceWorker) run(ctx context.Context) { w.health.Run(ctx) }
+
+func (w *serviceWorker) usable() bool { return w.health.usable() }
 
 func (w *serviceWorker) handle(c *peer.Conn, f peer.Frame) bool {
 	switch f := f.(type) {
@@ -109,13 +120,12 @@
 
 func (w *serviceWorker) disconnected(*peer.Conn) {}
 
-// setWeight does nothing: calls to a plain service are not queued by team.
-func (w *serviceWorker) setWeight(string, float64) {}
+func (w *serviceWorker) setWeight(team string, weight float64) { w.calls.queue.setWeight(team, weight) }
 
 func (w *serviceWorker) drain() { w.calls.Drain() }
 
 func (w *serviceWorker) idle() bool { return w.calls.Len() == 0 }
 
 func (w *serviceWorker) load() (upstream.Load, []peer.TeamLoad) {
-	return upstream.Load{Running: w.calls.Len()}, nil
+	return w.calls.load()
 }
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -15,9 +15,10 @@
 	"github.com/nutmegroute/nutmegroute/internal/entry"
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/pipeline"
 	"github.com/nutmegroute/nutmegroute/internal/platform"
-	"github.com/nutmegroute/nutmegroute/internal/platform/recordstore"
+	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
 	"github.com/nutmegroute/nutmegroute/internal/service"
 	"github.com/nutmegroute/nutmegroute/internal/sidecar"
 	standinengine "github.com/nutmegroute/nutmegroute/internal/standin/engine"
@@ -56,6 +57,16 @@
 	Entry   entry.Options
 	Sidecar sidecar.Options
 	Log     *events.Logger
+	// Network makes the connections between processes. Default plain TCP.
+	Network Network
+}
+
+// Network makes the connections between processes, for example with delays.
+type Network interface {
+	// Dialer returns the dial function of a process.
+	Dialer(id, domain string) peer.DialFunc
+	// Register names the process that listens on an address.
+	Register(address, id, domain string)
 }
 
 // ServiceOptions describe one plain service.
@@ -175,6 +186,7 @@
 	options.ID = fmt.Sprintf("%s-stage%d-%d", config.Model, stage, replica)
 	options.FailureDomain = d.domain(stage + replica)
 	options.Engine = engine.NewClient(url, nil)
+	options.Leases = objectstore.NewLeases(d.Client)
 	options.Group = fmt.Sprintf("%s-stage%d", config.Model, stage)
 	s, p, err := d.startSidecar(options)
 	if err != nil {
@@ -197,7 +209,7 @@
 		options.FailureDomain = d.domain(replica)
 		options.Service = service.NewClient(url, nil)
 		options.ServiceName = o.Name
-		options.Claimer = operation.NewClaimer(recordstore.New(d.Client), operation.Options{})
+		options.Claimer = operation.NewClaimer(objectstore.NewRecords(d.Client), operation.Options{})
 		if _, _, err := d.startSidecar(options); err != nil {
 			return err
 		}
@@ -208,10 +220,16 @@
 func (d *Deployment) startSidecar(options sidecar.Options) (*sidecar.Sidecar, *Process, error) {
 	options.Listen = loopback
 	options.Secret = peerSecret
+	if n := d.options.Network; n != nil {
+		options.Dial = n.Dialer(options.ID, options.FailureDomain)
+	}
 	s, err := sidecar.New(options)
 	if err != nil {
 		return nil, nil, fmt.Errorf("deployment: sidecar %s: %w", options.ID, err)
 	}
+	if n := d.options.Network; n != nil {
+		n.Register(s.Address(), options.ID, options.FailureDomain)
+	}
 	p := d.run(options.ID, s.Run)
 	d.Platform.RegisterInstance(platform.Instance{
 		ID: options.ID, Role: platform.RoleUpstream, Address: s.Address(),
@@ -226,13 +244,20 @@
 	options.FailureDomain = d.domain(i)
 	options.PeerListen = loopback
 	options.CallerListen = callerListen
+	options.AdminListen = loopback
 	options.Secret = peerSecret
 	options.Platform = d.Client
 	options.Log = d.options.Log
+	if n := d.options.Network; n != nil {
+		options.Dial = n.Dialer(options.ID, options.FailureDomain)
+	}
 	e, err := entry.New(options)
 	if err != nil {
 		return fmt.Errorf("deployment: %s: %w", options.ID, err)
 	}
+	if n := d.options.Network; n != nil {
+		n.Register(e.PeerAddress(), options.ID, options.FailureDomain)
+	}
 	d.Entries = append(d.Entries, e)
 	d.EntryProcs = append(d.EntryProcs, d.run(options.ID, e.Run))
 	d.Platform.RegisterInstance(platform.Instance{
@@ -254,9 +279,9 @@
 	return p
 }
 
-// Apply accepts a configuration change through the platform's store.
+// Apply accepts a configuration change through the first entry.
 func (d *Deployment) Apply(ctx context.Context, p config.Proposal) error {
-	_, err := config.NewStore(d.Client, config.StoreOptions{}).Accept(ctx, p)
+	_, err := d.Entries[0].Accept(ctx, p)
 	return err
 }
 
--- /dev/null
+++ b/internal/standin/deployment/deployment_test.go
@@ -0,0 +1,182 @@
+package deployment_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/dev"
+	"github.com/nutmegroute/nutmegroute/internal/standin/deployment"
+	standinengine "github.com/nutmegroute/nutmegroute/internal/standin/engine"
+)
+
+const testTimeout = 60 * time.Second
+
+func start(t *testing.T) *deployment.Deployment {
+	t.Helper()
+	options := dev.Options("127.0.0.1:0", "127.0.0.1:0")
+	options.Entry.DrainDelay = time.Millisecond
+	d, err := deployment.Start(options)
+	assert.NilError(t, err)
+	t.Cleanup(d.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	assert.NilError(t, dev.Configure(ctx, d))
+	assert.NilError(t, d.WaitReady(ctx))
+	return d
+}
+
+// answer is a streamed answer as its caller saw it.
+type answer struct {
+	id      string
+	text    string
+	outcome string
+	done    bool
+}
+
+// stream sends a request and calls onToken with the number of tokens so far.
+func stream(ctx context.Context, address, prompt string, onToken func(int)) (answer, error) {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":%q}]}`, dev.ProfileName, prompt)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	r.Header.Set("Authorization", "Bearer "+dev.SmallTeamKey)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer response.Body.Close()
+	a := answer{id: response.Header.Get("Nutmegroute-Request-Id"), outcome: response.Header.Get("Nutmegroute-Outcome")}
+	tokens := 0
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			a.done = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct{ Content string } `json:"delta"`
+			} `json:"choices"`
+			Nutmegroute struct{ Outcome string } `json:"nutmegroute"`
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return a, err
+		}
+		if chunk.Nutmegroute.Outcome != "" {
+			a.outcome = chunk.Nutmegroute.Outcome
+		}
+		if len(chunk.Choices) > 0 && chunk.Choices[0].Delta.Content != "" {
+			a.text += chunk.Choices[0].Delta.Content
+			tokens++
+			onToken(tokens)
+		}
+	}
+	return a, nil
+}
+
+func reference(prompt string) string {
+	return strings.Join(standinengine.Reference("nutmeg-30", 30, prompt, 1024), "")
+}
+
+// Guards against answers that are cut, mixed up or run twice when many callers
+// stream at once and one engine fails in the middle.
+func TestConcurrentAnswersSurviveTheLossOfAnEngine(t *testing.T) {
+	d := start(t)
+	const callers = 60
+	var wg sync.WaitGroup
+	var fail sync.Once
+	answers := make([]answer, callers)
+	errs := make([]error, callers)
+	prompt := func(i int) string { return fmt.Sprintf("request %d of many [[tokens=40]]", i) }
+	for i := range callers {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			answers[i], errs[i] = stream(ctx, d.Entries[i%2].CallerAddress(), prompt(i), func(n int) {
+				if n == 20 {
+					fail.Do(func() { d.Engines[2].SetControls(standinengine.Controls{Down: true}) })
+				}
+			})
+		})
+	}
+	wg.Wait()
+	for i, a := range answers {
+		assert.NilError(t, errs[i])
+		assert.Equal(t, a.outcome, "completed", "caller %d", i)
+		assert.Assert(t, a.done)
+		assert.Equal(t, a.text, reference(prompt(i)))
+	}
+	for i, e := range d.Engines {
+		if i != 2 {
+			runs := e.Runs()
+			assert.Equal(t, runs.DuplicateCount, 0, "engine %d", i)
+			assert.Equal(t, runs.GapCount, 0, "engine %d", i)
+		}
+	}
+}
+
+func apply(ctx context.Context, t *testing.T, d *deployment.Deployment, kind config.Kind, name string, value any) {
+	t.Helper()
+	data, err := json.Marshal(value)
+	assert.NilError(t, err)
+	assert.NilError(t, d.Apply(ctx, config.Proposal{
+		ID: uuid.NewString(), Author: "test", Kind: kind, Name: name, Value: data,
+	}))
+}
+
+// Guards against a change of version that interrupts answers, mixes versions
+// in one chain, or leaves an upstream behind.
+func TestVersionChangeUnderLoad(t *testing.T) {
+	d := start(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 8 {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				prompt := fmt.Sprintf("caller %d request %d [[tokens=20]]", i, n)
+				a, err := stream(ctx, d.Entries[i%2].CallerAddress(), prompt, func(int) {})
+				assert.Check(t, err)
+				assert.Check(t, a.outcome == "completed" && a.text == reference(prompt), "%+v", a)
+			}
+		})
+	}
+	for stage := range 3 {
+		group := fmt.Sprintf("nutmeg-30-stage%d", stage)
+		apply(ctx, t, d, config.KindPlacement, group, config.Placement{Name: group, Version: "2"})
+	}
+	for _, e := range d.Engines {
+		for e.Info().Version != "2" {
+			assert.NilError(t, ctx.Err())
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	close(stop)
+	wg.Wait()
+	for _, e := range d.Engines {
+		orders := e.Orders()
+		assert.Equal(t, len(orders), 1)
+		assert.Assert(t, orders[0].Fencing > 0)
+	}
+}
