integration: Check the sidecar's own refusal and answers that fail

A sidecar that leaves must refuse an entry that has not heard of it; without that check a sidecar that never refuses passed, because entries stop by themselves. A quarter of the 200 streams must not be resumed, so that some end with an error, and faults hit the busiest engine of a stage; before, no stream failed and a missing error event passed. Each cluster has a loopback address of its own: a port in the common range was taken by another test in one of three runs of the whole package.

Trials on a scratch copy with a broken rule, and the failure seen: - sidecar does not refuse when leaving: 'stage0-0 accepts a sequence 3.000123396s after it began to leave'; - no error event in a failed stream: 'request ... ended without a word after 4 tokens'; - token frames handed to another sequence: 'request ... got text that is not its own'; - entry ready without a configuration: 'assertion failed: 0 != 5 (revision)'. A stage that accepts any attempt passes TestLayersRunOnce: the position check and the assembler hide it; TestCursorRunsEachPositionOnceInOrder fails then.

--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/request"
 )
 
 // Guards against an answer that holds another caller's text, is cut without a
@@ -30,7 +32,12 @@
 					progress.Done()
 				}
 			})
-			answers[i] = c.chat(t.Context(), c.entries[i%2], "speech", prompt(i, 40+i%20), func(_ *answer, n int) {
+			// Every fourth answer must not be resumed, so that some end with an error.
+			profile := "speech"
+			if i%4 == 0 {
+				profile = "restart"
+			}
+			answers[i] = c.chat(t.Context(), c.entries[i/4%2], profile, prompt(i, 40+i%20), func(_ *answer, n int) {
 				if n == 3 {
 					first()
 				}
@@ -42,28 +49,31 @@
 	c.disturb(random, 6)
 	wg.Wait()
 	c.ready()
-	whole := 0
+	whole, failed := 0, 0
 	for _, a := range answers {
 		assert.Assert(t, !a.silent(), "request %s ended without a word after %d tokens", a.id, len(a.tokens))
 		refused.add(a.id, a.outcome)
 		assert.Assert(t, a.prefix(), "request %s got text that is not its own: %q", a.id, a.tokens)
+		if a.failed && a.outcome == request.OutcomeFailed {
+			failed++
+		}
 		if a.done {
 			assert.NilError(t, a.whole())
 			assert.NilError(t, c.atMostOnce(a))
 			whole++
 		}
 	}
-	t.Logf("%d of %d answers are whole", whole, streams)
+	t.Logf("%d of %d answers are whole, %d failed", whole, streams, failed)
 	refused.check(c)
 }
 
 // disturb brings faults about one after another: a stage is killed or frozen,
 // or a link between stages is slowed down, and repaired again.
 func (c *cluster) disturb(random *rand.Rand, faults int) {
-	for range faults {
-		e := c.engines[random.IntN(len(c.engines))]
+	for i := range faults {
+		e := c.busiest(random.IntN(stages))
 		var repair func()
-		switch kind := random.IntN(3); kind {
+		switch i % 3 {
 		case 0:
 			e.kill()
 			repair = e.start
@@ -78,6 +88,17 @@
 	}
 }
 
+// busiest returns the engine of a stage that has served the most requests. The
+// planner may leave others idle, where a fault shows nothing.
+func (c *cluster) busiest(stage int) (found *engineNode) {
+	for _, e := range c.engines {
+		if e.stage == stage && (found == nil || e.report().Requests > found.report().Requests) {
+			found = e
+		}
+	}
+	return found
+}
+
 // atMostOnce returns an error if an engine ran a position of a sequence twice.
 func (c *cluster) atMostOnce(a answer) error {
 	for _, e := range c.engines {
--- /dev/null
+++ b/test/integration/attr_other_test.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package integration
+
+import "syscall"
+
+// endWithTest is only available on Linux.
+var endWithTest *syscall.SysProcAttr
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -236,7 +235,7 @@
 // add writes the settings of a process and registers it in the platform's
 // list.
 func (c *cluster) add(role, id string, domain int, upstream string) *process {
-	p := &process{c: c, id: id, role: role, listen: freeAddress(c.t), status: freeAddress(c.t)}
+	p := &process{c: c, id: id, role: role, listen: c.links.address(), status: c.links.address()}
 	p.advertise = c.links.front(id, p.listen)
 	p.domain = fmt.Sprintf("domain-%d", domain%3)
 	p.upstream = upstream
@@ -250,21 +249,6 @@
 	return p
 }
 
-// freeAddress returns a free port below the range from which the system takes
-// the ports of outgoing connections, so that none of them occupies it while a
-// process restarts.
-func freeAddress(t testing.TB) string {
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000))
-		if l, err := net.Listen("tcp", address); err == nil {
-			assert.NilError(t, l.Close())
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // configure publishes a team, two profiles and a service.
 func (c *cluster) configure() {
 	c.accept(config.KindTeam, "team", 0, team.Team{Name: "team", Weight: 1, KeyHashes: []string{callerDigest}})
@@ -302,7 +286,10 @@
 	c.t.Helper()
 	for _, p := range c.all {
 		if p.role == "sidecar" || !c.shape.unconfigured {
-			c.wait(p.id+" ready", p.isReady)
+			c.wait(p.id+" ready", func() bool {
+				assert.Assert(c.t, p.alive(), "%s has ended", p.id)
+				return p.isReady()
+			})
 		}
 	}
 	for _, e := range c.entries {
@@ -367,6 +354,7 @@
 func (p *process) start() {
 	p.cmd = exec.Command(daemon, p.role, "--config", p.config())
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	p.cmd.SysProcAttr = endWithTest
 	assert.NilError(p.c.t, p.cmd.Start())
 	cmd, done := p.cmd, make(chan struct{})
 	p.done = done
--- a/test/integration/leaving_test.go
+++ b/test/integration/leaving_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 )
 
@@ -106,6 +107,7 @@
 			e := <-reached
 			leave(c, e)
 			left := time.Now()
+			c.refusesStranger(e, left)
 			// Requests that start after the limit are the ones to judge.
 			c.wait("requests after the limit", func() bool {
 				l.mu.Lock()
@@ -134,6 +136,50 @@
 	}
 }
 
+// stranger is an entry that heeds no announcement, like one that was paused
+// when it came.
+type stranger struct{ answers chan *peer.SequenceOpened }
+
+// Connected implements peer.Handler.
+func (stranger) Connected(*peer.Conn) {}
+
+// HandleFrame implements peer.Handler.
+func (s stranger) HandleFrame(_ *peer.Conn, f peer.Frame) {
+	if opened, ok := f.(*peer.SequenceOpened); ok {
+		s.answers <- opened
+	}
+}
+
+// Disconnected implements peer.Handler.
+func (stranger) Disconnected(*peer.Conn, error) {}
+
+// refusesStranger checks that the sidecar itself refuses a new sequence within
+// the limit, because an entry may not know yet that it is leaving.
+func (c *cluster) refusesStranger(e *engineNode, left time.Time) {
+	s := stranger{make(chan *peer.SequenceOpened, 1)}
+	node := peer.NewNode(peer.Hello{Role: peer.RoleEntry, ID: "stranger", Address: "127.0.0.1:1"}, s,
+		func() uint64 { return 0 }, peer.Options{Secret: secret})
+	defer node.Close()
+	conn, err := node.Dial(c.t.Context(), e.listen)
+	assert.NilError(c.t, err)
+	layers := e.servers()[0].Info().Layers
+	for {
+		sent := time.Now()
+		id := request.NewID()
+		assert.NilError(c.t, conn.Send(&peer.OpenSequence{Request: id, Attempt: 1, Team: "team", DeadlineMillis: 30000, Model: model, Layers: layers}))
+		select {
+		case opened := <-s.answers:
+			if opened.Refused == peer.RefusedLeaving {
+				return
+			}
+		case <-conn.Done():
+			c.t.Fatalf("%s ended without refusing a sequence", e.id)
+		}
+		assert.NilError(c.t, conn.Send(&peer.CloseSequence{Request: id, Attempt: 1}))
+		assert.Assert(c.t, sent.Before(left.Add(leavingLimit)), "%s accepts a sequence %s after it began to leave", e.id, sent.Sub(left))
+	}
+}
+
 // Guards against a cut stream or a refused request during the planned restart
 // of every process, one after another, under load (I6).
 func TestRollingRestart(t *testing.T) {
--- a/test/integration/links_test.go
+++ b/test/integration/links_test.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
@@ -26,11 +28,20 @@
 	server *toxiproxy.ApiServer
 	fronts []net.Listener
 
+	// ip is the loopback address of the cluster, and port the last one taken.
+	// Processes and proxies that restart need their port again; on an address
+	// of its own nothing else takes it meanwhile.
+	ip   string
+	port atomic.Int32
+
 	mu    sync.Mutex
 	byEnd map[[2]string]link
 	open  map[[2]string]int
 }
 
+// address returns an address that this cluster alone uses.
+func (l *links) address() string { return fmt.Sprintf("%s:%d", l.ip, l.port.Add(1)) }
+
 // link is the proxy of one link. The address is a copy, because the proxy
 // writes its own again whenever it restarts.
 type link struct {
@@ -41,8 +52,10 @@
 func newLinks(t testing.TB) *links {
 	l := &links{
 		t: t, server: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
+		ip:    fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254)),
 		byEnd: make(map[[2]string]link), open: make(map[[2]string]int),
 	}
+	l.port.Store(7000)
 	t.Cleanup(func() {
 		for _, f := range l.fronts {
 			_ = f.Close()
@@ -58,7 +71,7 @@
 
 // front returns the address that a process advertises.
 func (l *links) front(id, listen string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", l.address())
 	assert.NilError(l.t, err)
 	l.fronts = append(l.fronts, listener)
 	go func() {
@@ -109,7 +122,7 @@
 	if found, ok := l.byEnd[end]; ok {
 		return found
 	}
-	p := toxiproxy.NewProxy(l.server, end[0]+">"+end[1], "127.0.0.1:0", listen)
+	p := toxiproxy.NewProxy(l.server, end[0]+">"+end[1], l.address(), listen)
 	if err := p.Start(); err != nil {
 		panic(err)
 	}
