--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -94,7 +94,7 @@
 }
 
 func platformClient(s settings.Platform) *platform.Client {
-	return platform.NewClient(s.Address, platform.WithTimeout(s.Timeout))
+	return platform.NewClient(s.Address, platform.WithTimeout(s.Timeout), platform.WithKey(string(s.Key)))
 }
 
 // loadTLS returns nil if the settings name no certificate.
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -81,10 +81,12 @@
 func (e *Entry) heartbeatLoop(ctx context.Context) {
 	ticker := time.NewTicker(e.options.HeartbeatInterval)
 	defer ticker.Stop()
+	ready := false
 	for {
 		loads := e.ownLoads()
 		e.own.Store(&loads)
 		e.node.Broadcast(&peer.Heartbeat{Teams: loads}, peer.RoleEntry)
+		ready = e.logReadiness(ready)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -93,6 +95,18 @@
 	}
 }
 
+// logReadiness reports a change of readiness and returns the current one.
+func (e *Entry) logReadiness(before bool) bool {
+	err := e.Ready()
+	switch {
+	case err == nil && !before:
+		e.options.Log.Log(events.ProcessReady).Uint64("revision", uint64(e.replica.Revision())).Send()
+	case err != nil && before && !e.leaving.Load():
+		e.options.Log.Log(events.ProcessNotReady).Err(err).Send()
+	}
+	return err == nil
+}
+
 // adminHandler returns the operators' API.
 func (e *Entry) adminHandler() (http.Handler, error) {
 	var operators []adminapi.Operator
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -96,7 +96,7 @@
 	if refusal.Reason == team.RefusedDeadline {
 		event = events.DeadlineUnreachable
 	}
-	e.options.Log.Log(event).Str("team", s.team).Str("model", s.model).
+	e.options.Log.LogLimited(event).Str("team", s.team).Str("model", s.model).
 		Dur("wait_ms", refusal.Wait).Float64("load", refusal.Load).Float64("share", refusal.Share).Send()
 	return &callerapi.Result{
 		Outcome: request.OutcomeNotRun, RetryAfter: refusal.RetryAfter,
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -69,7 +69,7 @@
 	if result.Outcome == request.OutcomeNotRun {
 		event = events.NoChain
 	}
-	e.options.Log.Log(event).Str("request", string(s.id)).Str("team", s.team).Str("model", s.model).
+	e.options.Log.LogLimited(event).Str("request", string(s.id)).Str("team", s.team).Str("model", s.model).
 		Str("outcome", string(result.Outcome)).Str("reason", result.Err.Message).Send()
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -149,7 +149,7 @@
 // New listens on the entry's addresses. It returns a listener's error.
 func New(options Options) (*Entry, error) {
 	options = options.withDefaults()
-	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable(), calls: newCallTable(), traces: newTraces(), meters: newMeters(options.Scope), usage: team.NewCounters(time.Now())}
+	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable(options.Log), calls: newCallTable(), traces: newTraces(), meters: newMeters(options.Scope), usage: team.NewCounters(time.Now())}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -175,7 +176,10 @@
 func (m *membership) dial(ctx context.Context, key string, a *address) {
 	dctx, cancel := context.WithTimeout(ctx, memberDialTimeout)
 	defer cancel()
-	_, _ = m.node.Dial(dctx, key)
+	_, err := m.node.Dial(dctx, key)
+	if errors.Is(err, peer.ErrUnauthorized) || errors.Is(err, peer.ErrHandshake) {
+		m.log.LogLimited(events.PeerRejected).Str("address", key).Err(err).Send()
+	}
 	m.mu.Lock()
 	a.dialing = false
 	m.mu.Unlock()
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -76,7 +76,7 @@
 // logRetryBudget reports a retry that was not made.
 func logRetryBudget(log *events.Logger, name string, err error) {
 	if errors.Is(err, team.ErrRetryBudget) {
-		log.Log(events.RetryBudgetSpent).Str("team", name).Send()
+		log.LogLimited(events.RetryBudgetSpent).Str("team", name).Send()
 	}
 }
 
@@ -86,6 +86,9 @@
 }
 
 func logDisconnected(log *events.Logger, c *peer.Conn, err error) {
+	if errors.Is(err, peer.ErrMalformedFrame) {
+		log.Log(events.FrameRejected).Str("peer", c.Hello().ID).Err(err).Send()
+	}
 	log.Log(events.PeerDisconnected).Str("peer", c.Hello().ID).Str("address", c.Hello().Address).
 		Bool("silent", c.Idle()).Err(err).Send()
 }
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -157,6 +157,8 @@
 		}
 		fencing, err := holder.Check(time.Now())
 		if err != nil {
+			// Another entry holds the lease and gives the orders.
+			o.entry.options.Log.LogLimited(events.LeaseNotHeld).Str("group", p.Name).Err(err).Send()
 			return false
 		}
 		return o.send(ctx, conn, &peer.Order{
--- a/internal/entry/sequences.go
+++ b/internal/entry/sequences.go
@@ -4,6 +4,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 )
@@ -14,10 +15,11 @@
 	byID map[request.ID]*sequence
 	// unknown counts frames for requests that this process does not know.
 	unknown atomic.Uint64
+	log     *events.Logger
 }
 
-func newSequenceTable() *sequenceTable {
-	return &sequenceTable{byID: make(map[request.ID]*sequence)}
+func newSequenceTable(log *events.Logger) *sequenceTable {
+	return &sequenceTable{byID: make(map[request.ID]*sequence), log: log}
 }
 
 func (t *sequenceTable) add(s *sequence) {
@@ -45,6 +47,7 @@
 	t.mu.RUnlock()
 	if s == nil {
 		t.unknown.Add(1)
+		t.log.Log(events.StaleFrameDropped).Str("request", string(id)).Uint8("type", uint8(f.Type())).Send()
 		return
 	}
 	s.post(sequenceEvent{conn: c, frame: f})
--- a/internal/events/configuration.go
+++ b/internal/events/configuration.go
@@ -20,6 +20,4 @@
 		"Check the platform. Changes and non-idempotent operations are refused until it answers.")
 	StoreRecovered = define(1405, "store-recovered", zerolog.InfoLevel,
 		"The platform's store answers again.", noAction)
-	SnapshotWritten = define(1406, "snapshot-written", zerolog.InfoLevel,
-		"A configuration snapshot was written.", noAction)
 )
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"regexp"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -38,3 +39,20 @@
 	_, err = New(&b, "info", "xml", "x")
 	assert.ErrorContains(t, err, "xml")
 }
+
+// Guards against lines without end under overload, and against withheld lines
+// that nobody learns of.
+func TestLimitsWithholdAndCount(t *testing.T) {
+	l := newLimits()
+	now := time.Unix(1, 0)
+	for i, want := range []struct {
+		after    time.Duration
+		withheld int
+		ok       bool
+	}{{0, 0, true}, {time.Millisecond, 0, false}, {time.Millisecond, 0, false}, {limitInterval, 2, true}, {limitInterval, 0, true}} {
+		now = now.Add(want.after)
+		withheld, ok := l.allow(1, now)
+		assert.Equal(t, ok, want.ok, "line %d", i)
+		assert.Equal(t, withheld, want.withheld, "line %d", i)
+	}
+}
--- a/internal/events/orders.go
+++ b/internal/events/orders.go
@@ -11,6 +11,6 @@
 		"None if a lease changed hands; otherwise check the clock and load of the old holder.")
 	OrderFailed = define(1602, "order-failed", zerolog.ErrorLevel,
 		"An engine refused or failed an order.", "Check the engine's log and the weight store.")
-	LeaseLost = define(1603, "lease-lost", zerolog.WarnLevel,
-		"The holder of a group's lease no longer holds it.", noAction)
+	LeaseNotHeld = define(1603, "lease-not-held", zerolog.InfoLevel,
+		"The entry gives no order to a group, because it doesn't hold the group's lease.", noAction)
 )
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -76,6 +76,35 @@
 // WithMaxResponseBytes bounds each response. Default DefaultMaxResponseBytes.
 func WithMaxResponseBytes(n int64) Option { return func(c *Client) { c.maxResponseBytes = n } }
 
+// WithKey sends a key as bearer token. Default none.
+func WithKey(key string) Option {
+	return func(c *Client) {
+		if key != "" {
+			c.http.Transport = bearer{key: key, next: c.http.Transport}
+		}
+	}
+}
+
+// bearer adds the Authorization header to each request.
+type bearer struct {
+	key  string
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+b.key)
+	return b.next.RoundTrip(r)
+}
+
+// CloseIdleConnections lets Client.Close reach the transport below.
+func (b bearer) CloseIdleConnections() {
+	if c, ok := b.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 // NewClient returns a client of the platform at baseURL, for example
 // "http://10.0.0.1:8080".
 func NewClient(baseURL string, options ...Option) *Client {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -266,7 +266,7 @@
 	stage := NewStage(s.node.Dialer(), s.options.Engine, s.describe(info, maxBatch), StageOptions{
 		MaxBatch: maxBatch, MaxQueue: s.options.MaxQueue, MaxQueueTokens: s.options.MaxQueueTokens,
 		OutputLogBytes: s.options.OutputLogBytes, FIFO: s.options.FIFO, StepwiseReplay: s.options.StepwiseReplay,
-		Usable: health.usable, EngineFailed: health.ask,
+		Usable: health.usable, EngineFailed: health.ask, Refused: s.logRefused,
 	})
 	w := &engineWorker{scheduler: stage.scheduler, stage: stage, health: health}
 	w.orders = &orders{
@@ -280,6 +280,16 @@
 	return w
 }
 
+// logRefused reports that load made the sidecar refuse a new sequence.
+func (s *Sidecar) logRefused(reason peer.RefusalReason) {
+	switch reason {
+	case peer.RefusedQueueFull:
+		s.options.Log.LogLimited(events.QueueFull).Send()
+	case peer.RefusedDeadline:
+		s.options.Log.LogLimited(events.DeadlineUnreachable).Send()
+	}
+}
+
 // describe turns what an engine says of itself into the descriptor that
 // entries get.
 func (s *Sidecar) describe(info engine.Info, maxBatch int) upstream.Descriptor {
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -47,7 +47,8 @@
 	logs      *pipeline.LogBudget
 	now       func() time.Time
 	// usable reports whether the engine answers.
-	usable func() bool
+	usable  func() bool
+	refused func(peer.RefusalReason)
 	// stepwise runs the steps of a replayed log one by one.
 	stepwise bool
 
@@ -77,6 +78,8 @@
 	StepwiseReplay bool
 	// Usable reports whether the engine answers.
 	Usable func() bool
+	// Refused is called when a new sequence is refused; nil means no call.
+	Refused func(peer.RefusalReason)
 	// EngineFailed is called after a call that the engine did not answer.
 	EngineFailed func()
 }
@@ -92,6 +95,7 @@
 		now:       time.Now,
 		usable:    o.Usable,
 		stepwise:  o.StepwiseReplay,
+		refused:   o.Refused,
 		sequences: make(map[request.ID]*sequence),
 		closed:    make(map[request.ID]closedSequence),
 	}
@@ -133,6 +137,9 @@
 	answer := &peer.SequenceOpened{Request: open.Request, Attempt: open.Attempt}
 	seq, reason := s.bindLocked(entry, open)
 	answer.Refused = reason
+	if reason != "" && s.refused != nil {
+		s.refused(reason)
+	}
 	if seq != nil {
 		answer.Next = seq.cursor.Next()
 	}
