sidecar: End the call to an engine that answers no probes

In a batch of several sequences the look-ups took 1 s each, one after the other. Change: a batch that takes 250 ms and 8 times its usual duration has the engine probed; an engine that does not answer the probe within 1 s has its call ended. The look-ups after a lost response share one limit of 1 s. A shorter batch timeout was ruled out, because a long prefill may take seconds while the engine still answers probes.

--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -21,6 +21,8 @@
 type healthCheck struct {
 	probe   func(ctx context.Context) error
 	changed func()
+	// silent is called after each probe that got no answer.
+	silent func()
 	// asked is signalled after a failed call, so that an upstream that has
 	// died is noticed before the next regular probe.
 	asked chan struct{}
@@ -28,7 +30,7 @@
 }
 
 func newHealthCheck(probe func(ctx context.Context) error, changed func()) *healthCheck {
-	return &healthCheck{probe: probe, changed: changed, asked: make(chan struct{}, 1)}
+	return &healthCheck{probe: probe, changed: changed, silent: func() {}, asked: make(chan struct{}, 1)}
 }
 
 // usable reports whether the last probe was answered.
@@ -66,7 +68,13 @@
 	pctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	down := h.probe(pctx) != nil
-	if ctx.Err() == nil && h.down.Swap(down) != down {
+	if ctx.Err() != nil {
+		return
+	}
+	if h.down.Swap(down) != down {
 		h.changed()
 	}
+	if down {
+		h.silent()
+	}
 }
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -26,7 +26,13 @@
 	// batchTimeout bounds one engine call. An engine that is silent for longer
 	// counts as failed.
 	batchTimeout = 5 * time.Second
-	// probeTimeout bounds the look-up of a sequence after a lost response.
+	// slowBatch and slowFactor, a multiple of the usual duration, are when a
+	// batch without a response has the engine probed. Waiting for batchTimeout
+	// alone would stall every sequence of a frozen engine for 5 s.
+	slowBatch  = 250 * time.Millisecond
+	slowFactor = 8
+	// probeTimeout bounds the look-up of all sequences of a batch after a lost
+	// response.
 	probeTimeout = time.Second
 	// probeInterval is the wait between two look-ups while the engine still
 	// runs the step.
@@ -89,6 +95,8 @@
 	failed   func(*work, peer.FailureReason, string)
 	// engineFailed is called after a call that the engine did not answer.
 	engineFailed func()
+	// abortBatch ends the call in progress. Guarded by mu.
+	abortBatch context.CancelFunc
 	// fifo serves all work in the order of arrival.
 	fifo bool
 
@@ -257,17 +265,26 @@
 	}
 	start := time.Now()
 	bctx, cancel := context.WithTimeout(ctx, batchTimeout)
+	s.setAbort(cancel)
+	usual := time.Duration(s.stepMicros.Load()) * time.Microsecond
+	slow := time.AfterFunc(max(slowBatch, slowFactor*usual), s.engineFailed)
 	response, err := s.engine.Batch(bctx, engine.BatchRequest{Steps: steps})
+	slow.Stop()
+	s.setAbort(nil)
 	cancel()
 	if err != nil {
 		s.engineFailed()
 	} else {
 		s.observeStep(time.Since(start))
 	}
+	// The sequences share one limit, so that a full batch on an engine that has
+	// gone silent does not wait for each of them in turn.
+	pctx, cancelProbe := context.WithTimeout(ctx, probeTimeout)
+	defer cancelProbe()
 	next := 0
 	for _, w := range batch {
 		if err != nil {
-			s.recoverWork(ctx, w, err)
+			s.recoverWork(pctx, w, err)
 			continue
 		}
 		s.complete(w, response.Results[next:next+len(w.steps)])
@@ -275,6 +292,22 @@
 	}
 }
 
+func (s *scheduler) setAbort(cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abortBatch = cancel
+}
+
+// abort ends the call in progress, because the engine does not answer probes
+// either. What ran of it is asked for like after a lost response.
+func (s *scheduler) abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.abortBatch != nil {
+		s.abortBatch()
+	}
+}
+
 // complete passes on the results of a work item.
 func (s *scheduler) complete(w *work, results []engine.StepResult) {
 	for _, r := range results {
@@ -291,9 +324,7 @@
 // recoverWork asks the engine what became of a step whose response was lost.
 // The step is never sent again, because the engine may be running it. Results
 // of more than one step can't be asked for, so such work fails.
-func (s *scheduler) recoverWork(ctx context.Context, w *work, cause error) {
-	pctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
+func (s *scheduler) recoverWork(pctx context.Context, w *work, cause error) {
 	step := w.steps[len(w.steps)-1]
 	for len(w.steps) == 1 {
 		status, err := s.engine.Sequence(pctx, step.Sequence)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -266,6 +266,7 @@
 		return err
 	}, s.announce)
 	scheduler.engineFailed = health.ask
+	health.silent = scheduler.abort
 	scheduler.fifo = s.options.FIFO
 	stage := newStage(s.node, scheduler, s.options.OutputLogBytes, time.Now)
 	stage.usable = health.usable
