--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -69,7 +69,7 @@
 	if result.Outcome == request.OutcomeNotRun {
 		event = events.NoChain
 	}
-	e.options.Log.Log(event).Str("request", string(s.id)).Str("team", s.team).Str("model", s.model).
+	e.options.Log.LogLimited(event).Str("request", string(s.id)).Str("team", s.team).Str("model", s.model).
 		Str("outcome", string(result.Outcome)).Str("reason", result.Err.Message).Send()
 }
 
@@ -80,7 +80,7 @@
 		maxTokens = min(maxTokens, r.MaxTokens)
 	}
 	s := &sequence{
-		node: e.node, chooser: e.chooser,
+		peers: e.node.Dialer(), chooser: e.chooser,
 		id: r.ID, team: r.Team, model: p.Model, domains: planner.NewDomains(p.FailureDomains),
 		prompt: prompt, promptTokens: len(prompt)/bytesPerToken + 1, maxTokens: maxTokens,
 		priority:   p.Priority,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -259,30 +259,38 @@
 	if info.MaxBatch > 0 {
 		maxBatch = min(maxBatch, info.MaxBatch)
 	}
-	limits := schedulerLimits{batch: maxBatch, items: s.options.MaxQueue, tokens: s.options.MaxQueueTokens}
-	scheduler := newScheduler(s.options.Engine, s.describe(info, maxBatch), limits)
 	health := newHealthCheck(func(ctx context.Context) error {
 		_, err := s.options.Engine.Info(ctx)
 		return err
 	}, s.announce)
-	scheduler.engineFailed = health.ask
-	health.silent = scheduler.abort
-	scheduler.fifo = s.options.FIFO
-	stage := newStage(s.node, scheduler, s.options.OutputLogBytes, time.Now)
-	stage.usable = health.usable
-	stage.stepwise = s.options.StepwiseReplay
-	w := &engineWorker{scheduler: scheduler, stage: stage, health: health}
+	stage := NewStage(s.node.Dialer(), s.options.Engine, s.describe(info, maxBatch), StageOptions{
+		MaxBatch: maxBatch, MaxQueue: s.options.MaxQueue, MaxQueueTokens: s.options.MaxQueueTokens,
+		OutputLogBytes: s.options.OutputLogBytes, FIFO: s.options.FIFO, StepwiseReplay: s.options.StepwiseReplay,
+		Usable: health.usable, EngineFailed: health.ask, Refused: s.logRefused,
+	})
+	w := &engineWorker{scheduler: stage.scheduler, stage: stage, health: health}
+	health.silent = stage.scheduler.abort
 	w.orders = &orders{
 		engine: s.options.Engine, leases: s.options.Leases, group: s.options.Group,
 		stage: stage, health: health, log: s.options.Log,
 		done: func(info engine.Info) {
-			scheduler.setDescriptor(s.describe(info, maxBatch))
+			stage.scheduler.setDescriptor(s.describe(info, maxBatch))
 			s.announce()
 		},
 	}
 	return w
 }
 
+// logRefused reports that load made the sidecar refuse a new sequence.
+func (s *Sidecar) logRefused(reason peer.RefusalReason) {
+	switch reason {
+	case peer.RefusedQueueFull:
+		s.options.Log.LogLimited(events.QueueFull).Send()
+	case peer.RefusedDeadline:
+		s.options.Log.LogLimited(events.DeadlineUnreachable).Send()
+	}
+}
+
 // describe turns what an engine says of itself into the descriptor that
 // entries get.
 func (s *Sidecar) describe(info engine.Info, maxBatch int) upstream.Descriptor {
