--- a/internal/bench/decisions.go
+++ b/internal/bench/decisions.go
@@ -10,6 +10,7 @@
 		Rows: []Row{
 			{Name: "go test -run '^$' -bench . -benchmem ./internal/planner", Values: []Number{12000}},
 			{Name: "go test -run '^$' -bench . -benchmem ./internal/team", Values: []Number{260}},
+			{Name: "go test -run '^$' -bench . -benchmem ./internal/upstream", Values: []Number{12000}},
 		},
 	}}, nil
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -269,6 +269,7 @@
 		Usable: health.usable, EngineFailed: health.ask, Refused: s.logRefused,
 	})
 	w := &engineWorker{scheduler: stage.scheduler, stage: stage, health: health}
+	health.silent = stage.scheduler.abort
 	w.orders = &orders{
 		engine: s.options.Engine, leases: s.options.Leases, group: s.options.Group,
 		stage: stage, health: health, log: s.options.Log,
