Check that nothing outlives a deployment or a caller that left

Cause: neither goroutines left behind by a stop nor sequences of callers that left in mid-stream were checked. Change: goleak checks the deployment tests; a new test leaves in mid-stream and waits until no engine holds KV cache. Result: both pass with the race detector; no fault was found.

--- a/internal/standin/deployment/deployment_test.go
+++ b/internal/standin/deployment/deployment_test.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"github.com/nutmegroute/nutmegroute/internal/config"
@@ -180,3 +182,34 @@
 		assert.Assert(t, orders[0].Fencing > 0)
 	}
 }
+
+// Guards against goroutines that outlive the processes of a deployment, also
+// after callers that left in mid-stream.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.Cleanup(func(code int) {
+		http.DefaultClient.CloseIdleConnections()
+		os.Exit(code)
+	}))
+}
+
+// Guards against a sequence that goes on at the stages after its caller left.
+func TestCallerThatLeavesStopsTheSequence(t *testing.T) {
+	d := start(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	caller, leave := context.WithCancel(ctx)
+	_, err := stream(caller, d.Entries[0].CallerAddress(), "a long answer [[tokens=100000]]", func(n int) {
+		if n == 3 {
+			leave()
+		}
+	})
+	assert.Assert(t, caller.Err() != nil, "%v", err)
+	for open := 1; open > 0; time.Sleep(10 * time.Millisecond) {
+		assert.NilError(t, ctx.Err())
+		open = 0
+		for _, e := range d.Engines {
+			load := e.Load()
+			open += load.KVUsed
+		}
+	}
+}
