Wait for a usable upstream of a plain service during a rolling restart

Cause: TestRollingRestart failed under load with a purchase refused as not-run: the second of two account sidecars began to leave before the entry had connected to the restarted first one, so no upstream was usable for a moment. Change: a call waits up to 2 s for a usable upstream, as language-model requests already do, and a sidecar answers /readyz with 200 only once an entry is connected. Asking operators to pause between restarts was ruled out.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -23,6 +23,10 @@
 	// redispatchPause is the wait before the upstreams of a service are tried
 	// again after all have been tried.
 	redispatchPause = 100 * time.Millisecond
+	// callPatience is how long a call waits while no upstream of the service is
+	// usable. In a rolling restart of a small pool the entry may learn of the
+	// restarted upstream only after the next one has begun to leave.
+	callPatience = 2 * time.Second
 	// callRetryFraction is the share of a team's calls to plain services that
 	// may be dispatched again.
 	callRetryFraction = 0.2
@@ -94,6 +98,8 @@
 	request  callerapi.ServiceRequest
 	op       config.Operation
 	deadline time.Time
+	// patience is until when the call waits for a usable upstream.
+	patience time.Time
 
 	attempt  request.Attempt
 	excluded map[upstream.InstanceID]bool
@@ -121,9 +127,11 @@
 		return callerapi.ServiceResult{Result: busy("the entry is leaving")}
 	}
 	op := s.Operation(r.Operation)
+	now := time.Now()
 	c := &call{
 		entry: e, request: r, op: op,
-		deadline: time.Now().Add(time.Duration(op.DeadlineMillis) * time.Millisecond),
+		deadline: now.Add(time.Duration(op.DeadlineMillis) * time.Millisecond),
+		patience: now.Add(callPatience),
 		excluded: make(map[upstream.InstanceID]bool),
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		trace:    e.traces.start(r.ID, r.Team, r.Service+"/"+r.Operation),
@@ -147,7 +155,7 @@
 	for ctx.Err() == nil {
 		u := c.choose()
 		if u == nil {
-			if !c.uncertain || !c.pause(ctx) {
+			if (!c.uncertain && time.Now().After(c.patience)) || !c.pause(ctx) {
 				break
 			}
 			continue
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -212,8 +212,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if s.leaving.Load() {
-			http.Error(w, "leaving", http.StatusServiceUnavailable)
+		if reason := s.notReady(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
 		}
 	})
 	mux.Handle("GET /metrics", s.options.Metrics)
@@ -313,6 +313,21 @@
 	}
 }
 
+// notReady returns why the sidecar is not ready, or "". It is ready once an
+// entry is connected, so that a rolling restart does not stop the next upstream
+// before this one can get work.
+func (s *Sidecar) notReady() string {
+	if state := s.state(); state != upstream.StateReady {
+		return string(state)
+	}
+	for _, c := range s.node.Conns() {
+		if c.Hello().Role == peer.RoleEntry {
+			return ""
+		}
+	}
+	return "no entry is connected"
+}
+
 func (s *Sidecar) state() upstream.State {
 	switch {
 	case s.leaving.Load():
