sidecar: Drop waiting steps when a new attempt is bound

Cause: a step that arrived ahead of an earlier one waited in the stage and survived the binding of a new attempt. The stage then ran it with the output of a predecessor that the new attempt had replaced, although frames of lower attempts must contribute nothing (design, 5.2). Change: binding a higher attempt drops the waiting steps. None is lost, because the driver has the predecessor resend everything from the cursor. Checking the attempt of a waiting step when it starts was ruled out: it has the same effect and keeps useless activations in memory until then. The new test fails before the change ("old 1" runs) and passes after it.

--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -156,6 +156,11 @@
 		}
 		seq = s.newSequence(open)
 	}
+	if open.Attempt > seq.cursor.Attempt() {
+		// Steps that wait may come from a stage that the new attempt replaced.
+		// The stage before this one sends them again.
+		clear(seq.pending)
+	}
 	if err := seq.cursor.Bind(open.Attempt); err != nil {
 		return nil, peer.RefusedStaleAttempt
 	}
--- /dev/null
+++ b/internal/sidecar/stage_test.go
@@ -0,0 +1,91 @@
+package sidecar
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/engine"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+// fakeEntry is the entry's end of a connection.
+type fakeEntry struct {
+	frames []peer.Frame
+	closed bool
+}
+
+func (e *fakeEntry) Send(f peer.Frame) error {
+	if e.closed {
+		return peer.ErrClosed
+	}
+	e.frames = append(e.frames, f)
+	return nil
+}
+
+// fakeNext is a dialer whose dials end when answer is closed.
+type fakeNext struct{ answer chan struct{} }
+
+func (fakeNext) Connection(string) peer.Sender { return nil }
+
+func (n fakeNext) Dial(context.Context, string) (peer.Sender, error) {
+	<-n.answer
+	return &fakeEntry{}, nil
+}
+
+// recordingEngine records the inputs of the steps that it runs.
+type recordingEngine struct {
+	Engine
+	inputs []string
+}
+
+func (e *recordingEngine) Cancel(context.Context, string) error { return nil }
+
+func (e *recordingEngine) Batch(_ context.Context, b engine.BatchRequest) (engine.BatchResponse, error) {
+	var r engine.BatchResponse
+	for _, s := range b.Steps {
+		e.inputs = append(e.inputs, string(s.Activation))
+		r.Results = append(r.Results, engine.StepResult{Sequence: s.Sequence, Position: s.Position})
+	}
+	return r, nil
+}
+
+var testLayers = pipeline.LayerRange{From: 2, To: 4}
+
+// withStage runs f with a stage of the last layers of a model.
+func withStage(t *testing.T, peers peer.Dialer, f func(t *testing.T, s *Stage, e *recordingEngine)) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &recordingEngine{}
+		s := NewStage(peers, e, upstream.Descriptor{Model: "m", ModelLayers: 4, Layers: testLayers}, StageOptions{
+			MaxBatch: 4, MaxQueue: 16, MaxQueueTokens: 1024, OutputLogBytes: 1 << 20, Usable: func() bool { return true },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.Run(ctx)
+		f(t, s, e)
+	})
+}
+
+func open(a int) *peer.OpenSequence {
+	return &peer.OpenSequence{Request: "r", Attempt: request.Attempt(a), Model: "m", Layers: testLayers, DeadlineMillis: 600_000}
+}
+
+// Guards against a stage that runs a step which a replaced stage sent ahead.
+func TestNewAttemptDropsWaitingSteps(t *testing.T) {
+	withStage(t, fakeNext{}, func(t *testing.T, s *Stage, e *recordingEngine) {
+		entry := &fakeEntry{}
+		s.Open(entry, open(1))
+		s.Step(&peer.Step{Request: "r", Attempt: 1, Position: 1, Activation: []byte("old 1")})
+		s.Open(entry, open(2))
+		for p, input := range []string{"new 0", "new 1"} {
+			s.Step(&peer.Step{Request: "r", Attempt: 2, Position: request.Position(p), Activation: []byte(input)})
+			synctest.Wait()
+		}
+		assert.DeepEqual(t, e.inputs, []string{"new 0", "new 1"})
+	})
+}
