sidecar: Treat a sequence bound to an ended connection as an orphan

Cause: OpenSequence dials the next stage before it binds. If the entry's connection ended meanwhile, Disconnected had already run, and the sequence was bound to a connection that would never be reported as lost. It stayed open, with its KV cache, until the deadline of the request. Change: if the answer can't be sent, the sequence is an orphan from then on. Conn marks itself closed before Disconnected runs, so either the answer fails or Disconnected finds the sequence. Refusing the sequence was ruled out: a surviving sequence that was bound again would lose its state. The new test fails before the change and passes after it.

--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -136,7 +136,11 @@
 	if seq != nil {
 		answer.Next = seq.cursor.Next()
 	}
-	_ = entry.Send(answer)
+	if err := entry.Send(answer); err != nil && seq != nil {
+		// The connection ended while the next stage was dialed, so Disconnected
+		// has already run for it.
+		seq.orphaned = s.now()
+	}
 }
 
 func (s *Stage) bindLocked(entry peer.Sender, open *peer.OpenSequence) (*sequence, peer.RefusalReason) {
--- a/internal/sidecar/stage_test.go
+++ b/internal/sidecar/stage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -89,3 +90,21 @@
 		assert.DeepEqual(t, e.inputs, []string{"new 0", "new 1"})
 	})
 }
+
+// Guards against a sequence that stays open until its deadline because its
+// entry was lost while the next stage was dialed.
+func TestEntryLostDuringDial(t *testing.T) {
+	next := fakeNext{answer: make(chan struct{})}
+	withStage(t, next, func(t *testing.T, s *Stage, _ *recordingEngine) {
+		entry, o := &fakeEntry{}, open(1)
+		o.Downstream = "next"
+		s.Open(entry, o)
+		entry.closed = true
+		s.Disconnected(entry, "")
+		close(next.answer)
+		synctest.Wait()
+		time.Sleep(2 * orphanGrace)
+		s.Sweep()
+		assert.Equal(t, s.Len(), 0)
+	})
+}
