sidecar: Remember the highest closed attempt of a sequence

Cause: a late CloseSequence of a lower attempt overwrote the remembered one. Frames of two connections are handled independently, so after a pause an OpenSequence behind it could open the sequence once more after its end. Change: the memory keeps the highest attempt. The new test fails before the change (one open sequence) and passes after it.

--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -352,7 +352,9 @@
 		s.mu.Unlock()
 		return
 	}
-	s.closed[c.Request] = closedSequence{attempt: c.Attempt, at: s.now()}
+	// Frames of an earlier connection may be handled after those of a later one.
+	highest := max(c.Attempt, s.closed[c.Request].attempt)
+	s.closed[c.Request] = closedSequence{attempt: highest, at: s.now()}
 	s.removeLocked(c.Request)
 	s.mu.Unlock()
 }
--- a/internal/sidecar/stage_test.go
+++ b/internal/sidecar/stage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,3 +109,21 @@
 		assert.Equal(t, s.Len(), 0)
 	})
 }
+
+// Guards against an old attempt that opens a closed sequence again, when
+// frames of an earlier connection are handled after those of a later one.
+func TestLateCloseKeepsHighestAttempt(t *testing.T) {
+	withStage(t, fakeNext{}, func(t *testing.T, s *Stage, _ *recordingEngine) {
+		entry := &fakeEntry{}
+		s.Open(entry, open(3))
+		s.Close(&peer.CloseSequence{Request: "r", Attempt: 3})
+		s.Close(&peer.CloseSequence{Request: "r", Attempt: 1})
+		s.Open(entry, open(2))
+		assert.Equal(t, s.Len(), 0)
+		refused := slices.ContainsFunc(entry.frames, func(f peer.Frame) bool {
+			o, ok := f.(*peer.SequenceOpened)
+			return ok && o.Refused == peer.RefusedStaleAttempt
+		})
+		assert.Assert(t, refused)
+	})
+}
