entry: Close a sequence at a stage that waits to be tried again

Cause: a lost stage without a replacement is tried again after a pause. The driver forgot its connection for that time. If the caller left or the deadline passed during the pause, the stage got no CloseSequence, and if its connection was sound it held the sequence until the deadline and 3 s. Change: the connection stays in the binding and is looked up again when the sequence is opened. Sending CloseSequence before the pause was ruled out, because a stage that is alive is meant to keep its cursor. The new test fails before the change and passes after it.

--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -502,7 +502,9 @@
 		replacements, err := s.chooser.replace(s.random, s.chain, i, s.planRequest())
 		if err != nil {
 			exhausted = true
-			stages = append(stages, binding{Stage: b.Stage})
+			// The connection is kept, so that the stage is told if the sequence
+			// ends before it is opened again.
+			stages = append(stages, binding{Stage: b.Stage, conn: b.conn})
 			continue
 		}
 		s.abandon(b)
--- /dev/null
+++ b/internal/entry/sequence_test.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/pipeline"
+	"github.com/nutmegroute/nutmegroute/internal/planner"
+	"github.com/nutmegroute/nutmegroute/internal/request"
+	"github.com/nutmegroute/nutmegroute/internal/team"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
+)
+
+// newTestSequence returns a sequence that draws from seed.
+func newTestSequence(peers peer.Dialer, c chooser, id request.ID, deadline time.Time, directory *upstream.Directory, seed uint64) *sequence {
+	s := &sequence{
+		peers: peers, chooser: c, id: id, team: string(id), model: "m", prompt: "p", promptTokens: 1, maxTokens: 4,
+		firstToken: 10 * time.Second, deadline: deadline, retries: team.NewRetryBudget(),
+		outliers: newOutliers(directory, events.Nop()), meters: newMeters(tally.NoopScope), log: events.Nop(),
+		trace: newTraces().start(id, string(id), ""),
+	}
+	s.init()
+	s.random = rand.New(rand.NewPCG(seed, 0))
+	return s
+}
+
+// script is a chooser and a dialer of scripted stages: a, then b1 or b2.
+type script struct {
+	*sequence
+	stages map[string]*scriptedStage
+	spare  bool // b2 may replace b1
+}
+
+// scriptedStage is the driver's connection to a stage. answer returns the
+// response to a frame, or nil.
+type scriptedStage struct {
+	*script
+	stage  planner.Stage
+	frames []peer.Frame
+	answer func(f peer.Frame) peer.Frame
+}
+
+func (s *scriptedStage) Send(f peer.Frame) error {
+	s.frames = append(s.frames, f)
+	if r := s.answer(f); r != nil {
+		s.post(sequenceEvent{conn: s, frame: r})
+	}
+	return nil
+}
+
+// closed reports whether the stage was told that the sequence ended.
+func (s *scriptedStage) closed() bool {
+	return slices.ContainsFunc(s.frames, func(f peer.Frame) bool { return f.Type() == peer.TypeCloseSequence })
+}
+
+// accept answers OpenSequence.
+func accept(f peer.Frame) peer.Frame {
+	if o, ok := f.(*peer.OpenSequence); ok {
+		return &peer.SequenceOpened{Request: o.Request, Attempt: o.Attempt}
+	}
+	return nil
+}
+
+func (s *script) Connection(address string) peer.Sender { return s.stages[address] }
+
+func (s *script) Dial(context.Context, string) (peer.Sender, error) { return nil, peer.ErrUnreachable }
+
+func (s *script) chain(*rand.Rand, planner.Request) (planner.Decision, error) {
+	return planner.Decision{Chain: planner.Chain{Stages: []planner.Stage{s.stages["a"].stage, s.stages["b1"].stage}}}, nil
+}
+
+func (s *script) replace(_ *rand.Rand, c planner.Chain, i int, _ planner.Request) ([]planner.Stage, error) {
+	if !s.spare || c.Stages[i].ID != "b1" {
+		return nil, planner.ErrNoChain
+	}
+	return []planner.Stage{s.stages["b2"].stage}, nil
+}
+
+func newScript() *script {
+	s := &script{stages: make(map[string]*scriptedStage)}
+	directory := upstream.NewDirectory(upstream.DirectoryConfig{})
+	for id, layers := range map[string]pipeline.LayerRange{"a": {From: 0, To: 1}, "b1": {From: 1, To: 2}, "b2": {From: 1, To: 2}} {
+		u, _ := directory.Hello(time.Now(), upstream.Hello{ID: upstream.InstanceID(id), Process: id, Address: id,
+			Descriptor: upstream.Descriptor{Kind: upstream.KindEngine, Model: "m", ModelLayers: 2, Layers: layers}})
+		s.stages[id] = &scriptedStage{script: s, stage: stageOf(u), answer: accept}
+	}
+	s.sequence = newTestSequence(s, s, "r", time.Now().Add(time.Hour), directory, 1)
+	return s
+}
+
+// runFor runs the sequence until its caller leaves after d.
+func (s *script) runFor(t *testing.T, d time.Duration) request.Outcome {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	err := s.run(ctx, func(request.Piece) error { return errors.New("no token was sent") })
+	return s.result(err).Outcome
+}
+
+// Guards against a stage that holds a sequence until its deadline, because the
+// caller left while the sequence waited to be opened there again.
+func TestWaitingStageIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScript()
+		s.stages["b1"].answer = func(peer.Frame) peer.Frame { return nil }
+		s.runFor(t, openTimeout+rebindPause/2)
+		assert.Assert(t, s.stages["a"].closed())
+		assert.Assert(t, s.stages["b1"].closed())
+	})
+}
