entry: Do not report not-run after a report about the next stage

Cause: the driver took any SequenceFailed of the first stage without Ran as proof that its step was dropped. If the link to the next stage broke before the first step arrived, the stage reported that link with Ran unset and kept the sequence; the step then arrived and ran. Change: only the reasons with which a stage drops the sequence (engine and deadline) settle the step. Setting Ran in the stage's report was ruled out: it would be untrue, and the stage can't know that a step is under way. The new test fails before the change (not-run) and passes after it (failed).

--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -429,8 +429,9 @@
 var errExpired = errors.New("entry: the deadline passed in the queue")
 
 func (s *sequence) handleFailure(i int, f *peer.SequenceFailed, lost map[int]string) error {
-	if i == 0 && !f.Ran {
-		// The first stage dropped its only step, so nothing is left to run.
+	if dropped := f.Reason == peer.FailedEngine || f.Reason == peer.FailedDeadline; i == 0 && dropped && !f.Ran {
+		// The first stage dropped its only step, so nothing is left to run. A
+		// report about the next stage may have been sent before the step came.
 		s.unresolved = false
 	}
 	switch f.Reason {
--- a/internal/entry/sequence_test.go
+++ b/internal/entry/sequence_test.go
@@ -117,3 +117,18 @@
 		assert.Assert(t, s.stages["b1"].closed())
 	})
 }
+
+// Guards against a false not-run: the first stage reports that it can't reach
+// the next one before it has received the step.
+func TestReportBeforeStepIsNotNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScript()
+		s.stages["a"].answer = func(f peer.Frame) peer.Frame {
+			if step, ok := f.(*peer.Step); ok {
+				return &peer.SequenceFailed{Request: step.Request, Attempt: step.Attempt, Reason: peer.FailedDownstream, Downstream: "b1"}
+			}
+			return accept(f)
+		}
+		assert.Equal(t, s.runFor(t, rebindPause/2), request.OutcomeFailed)
+	})
+}
