entry: Replace only the stage that another one can't reach

Cause: a stage that could not dial the next one answered OpenSequence with SequenceFailed and no cursor. Change: the report counts as the stage's answer. Its cursor is not used, because a lost stage always leads to another attempt. Result: seen in a trace of the schedule test and confirmed by a scripted case: before, the chain with the replacement was not bound within 750 ms; after, it is bound at once, in attempt 2, with the first stage kept.

--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -313,6 +313,9 @@
 		case *peer.SequenceFailed:
 			if j := s.blame(i, f); f.Attempt == s.attempt && j >= 0 {
 				lost[j] = string(f.Reason) + ": " + f.Detail
+				// A stage that reports the next one has answered. It is opened
+				// again with the replacement.
+				s.stages[i].opened = true
 			}
 		case nil:
 			lost[i] = "connection lost"
--- a/internal/entry/sequence_test.go
+++ b/internal/entry/sequence_test.go
@@ -132,3 +132,23 @@
 		assert.Equal(t, s.runFor(t, rebindPause/2), request.OutcomeFailed)
 	})
 }
+
+// Guards against the loss of a stage that works and 1.5 s of waiting, when it
+// can't reach the next stage while the sequence is opened.
+func TestUnreachableNextStageIsReplacedAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScript()
+		s.spare = true
+		s.stages["a"].answer = func(f peer.Frame) peer.Frame {
+			if o, ok := f.(*peer.OpenSequence); ok && o.Downstream == "b1" {
+				return &peer.SequenceFailed{Request: o.Request, Attempt: o.Attempt, Reason: peer.FailedDownstream, Downstream: "b1"}
+			}
+			return accept(f)
+		}
+		s.runFor(t, openTimeout/2)
+		// The chain with b2 is bound and has its first step.
+		step, ok := s.stages["a"].frames[len(s.stages["a"].frames)-2].(*peer.Step)
+		assert.Assert(t, ok, "%T", s.stages["a"].frames)
+		assert.Equal(t, step.Attempt, request.Attempt(2))
+	})
+}
