--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -313,6 +313,9 @@
 		case *peer.SequenceFailed:
 			if j := s.blame(i, f); f.Attempt == s.attempt && j >= 0 {
 				lost[j] = string(f.Reason) + ": " + f.Detail
+				// A stage that reports the next one has answered. It is opened
+				// again with the replacement.
+				s.stages[i].opened = true
 			}
 		case nil:
 			lost[i] = "connection lost"
@@ -429,7 +432,8 @@
 var errExpired = errors.New("entry: the deadline passed in the queue")
 
 func (s *sequence) handleFailure(i int, f *peer.SequenceFailed, lost map[int]string) error {
-	if i == 0 && !f.Ran && f.Reason != peer.FailedDownstream {
+	dropped := f.Reason == peer.FailedEngine || f.Reason == peer.FailedDeadline
+	if i == 0 && dropped && !f.Ran {
 		// The first stage dropped its only step, so nothing is left to run. A
 		// report about the next stage says nothing about the step, which may
 		// still be on its way.
@@ -505,7 +509,9 @@
 		replacements, err := s.chooser.replace(s.random, s.chain, i, s.planRequest())
 		if err != nil {
 			exhausted = true
-			stages = append(stages, binding{Stage: b.Stage})
+			// The connection is kept, so that the stage is told if the sequence
+			// ends before it is opened again.
+			stages = append(stages, binding{Stage: b.Stage, conn: b.conn})
 			continue
 		}
 		s.abandon(b)
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -143,7 +143,11 @@
 	if seq != nil {
 		answer.Next = seq.cursor.Next()
 	}
-	_ = entry.Send(answer)
+	if err := entry.Send(answer); err != nil && seq != nil {
+		// The connection ended while the next stage was dialed, so Disconnected
+		// has already run for it.
+		seq.orphaned = s.now()
+	}
 }
 
 func (s *Stage) bindLocked(entry peer.Sender, open *peer.OpenSequence) (*sequence, peer.RefusalReason) {
@@ -163,6 +167,11 @@
 		}
 		seq = s.newSequence(open)
 	}
+	if open.Attempt > seq.cursor.Attempt() {
+		// Steps that wait may come from a stage that the new attempt replaced.
+		// The stage before this one sends them again.
+		clear(seq.pending)
+	}
 	if err := seq.cursor.Bind(open.Attempt); err != nil {
 		return nil, peer.RefusedStaleAttempt
 	}
@@ -350,7 +359,9 @@
 		s.mu.Unlock()
 		return
 	}
-	s.closed[c.Request] = closedSequence{attempt: c.Attempt, at: s.now()}
+	// Frames of an earlier connection may be handled after those of a later one.
+	highest := max(c.Attempt, s.closed[c.Request].attempt)
+	s.closed[c.Request] = closedSequence{attempt: highest, at: s.now()}
 	s.removeLocked(c.Request)
 	s.mu.Unlock()
 }
