--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -7,9 +7,13 @@
 	"runtime"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/peer"
 	standinengine "github.com/nutmegroute/nutmegroute/internal/standin/engine"
 	"github.com/nutmegroute/nutmegroute/internal/team"
+	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
 const (
@@ -40,7 +44,7 @@
 		},
 		Notes: []string{
 			"Bytes are those of frames sent; a process receives about as much. A connection's processor time is that of both ends.",
-			"Processor time and memory include the stand-in engines and their health probes once a second. Platform calls count the object API; a waiting watch counts as one.",
+			"Processor time and memory include the stand-in engines and their health probes once a second. Platform calls count the object API; each entry also has one waiting watch and reads the list of instances once a second, which the counter leaves out.",
 			"In force: from before the write to the store until every entry and sidecar has the revision.",
 		},
 		plotted: 1,
@@ -53,7 +57,34 @@
 		}
 		points = append(points, point)
 	}
-	return []Table{t, slopes(points)}, ctx.Err()
+	sizes, err := heartbeats()
+	if err != nil {
+		return nil, err
+	}
+	return []Table{t, slopes(points), sizes}, ctx.Err()
+}
+
+// heartbeats gives the size of heartbeats that report teams and links. The idle
+// deployment reports neither.
+func heartbeats() (Table, error) {
+	t := Table{Title: "size of a sidecar's heartbeat by what it reports", Columns: []Column{{"body", "B", false}}}
+	for _, size := range []struct{ teams, links int }{{0, 0}, {10, 0}, {260, 0}, {0, 10}, {0, 100}} {
+		beat := peer.Heartbeat{State: upstream.StateReady, Load: upstream.Load{Queued: 500, Running: 32, StepMicros: 8000, StartFraction: 0.37}}
+		for i := range size.teams {
+			beat.Teams = append(beat.Teams, peer.TeamLoad{
+				Team: fmt.Sprintf("team-%03d", i), QueuedTokens: 500, TokensPerSecond: 123.4, Admitted: 100_000, Refused: 1000,
+			})
+		}
+		for range size.links {
+			beat.Links = append(beat.Links, peer.LinkDelay{Address: "10.20.30.40:12345", RTTMicros: 1500})
+		}
+		data, err := cbor.Marshal(beat)
+		if err != nil {
+			return t, err
+		}
+		t.add(fmt.Sprintf("%d teams, %d links", size.teams, size.links), float64(len(data)))
+	}
+	return t, nil
 }
 
 // controlPoint is what one size measured, for the slopes.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -212,8 +212,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if s.leaving.Load() {
-			http.Error(w, "leaving", http.StatusServiceUnavailable)
+		if reason := s.notReady(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
 		}
 	})
 	mux.Handle("GET /metrics", s.options.Metrics)
@@ -266,9 +266,10 @@
 	stage := NewStage(s.node.Dialer(), s.options.Engine, s.describe(info, maxBatch), StageOptions{
 		MaxBatch: maxBatch, MaxQueue: s.options.MaxQueue, MaxQueueTokens: s.options.MaxQueueTokens,
 		OutputLogBytes: s.options.OutputLogBytes, FIFO: s.options.FIFO, StepwiseReplay: s.options.StepwiseReplay,
-		Usable: health.usable, EngineFailed: health.ask,
+		Usable: health.usable, EngineFailed: health.ask, Refused: s.logRefused,
 	})
 	w := &engineWorker{scheduler: stage.scheduler, stage: stage, health: health}
+	health.silent = stage.scheduler.abort
 	w.orders = &orders{
 		engine: s.options.Engine, leases: s.options.Leases, group: s.options.Group,
 		stage: stage, health: health, log: s.options.Log,
@@ -280,6 +281,16 @@
 	return w
 }
 
+// logRefused reports that load made the sidecar refuse a new sequence.
+func (s *Sidecar) logRefused(reason peer.RefusalReason) {
+	switch reason {
+	case peer.RefusedQueueFull:
+		s.options.Log.LogLimited(events.QueueFull).Send()
+	case peer.RefusedDeadline:
+		s.options.Log.LogLimited(events.DeadlineUnreachable).Send()
+	}
+}
+
 // describe turns what an engine says of itself into the descriptor that
 // entries get.
 func (s *Sidecar) describe(info engine.Info, maxBatch int) upstream.Descriptor {
@@ -302,6 +313,21 @@
 	}
 }
 
+// notReady returns why the sidecar is not ready, or "". It is ready once an
+// entry is connected, so that a rolling restart does not stop the next upstream
+// before this one can get work.
+func (s *Sidecar) notReady() string {
+	if state := s.state(); state != upstream.StateReady {
+		return string(state)
+	}
+	for _, c := range s.node.Conns() {
+		if c.Hello().Role == peer.RoleEntry {
+			return ""
+		}
+	}
+	return "no entry is connected"
+}
+
 func (s *Sidecar) state() upstream.State {
 	switch {
 	case s.leaving.Load():
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -47,7 +47,8 @@
 	logs      *pipeline.LogBudget
 	now       func() time.Time
 	// usable reports whether the engine answers.
-	usable func() bool
+	usable  func() bool
+	refused func(peer.RefusalReason)
 	// stepwise runs the steps of a replayed log one by one.
 	stepwise bool
 
@@ -77,6 +78,8 @@
 	StepwiseReplay bool
 	// Usable reports whether the engine answers.
 	Usable func() bool
+	// Refused is called when a new sequence is refused; nil means no call.
+	Refused func(peer.RefusalReason)
 	// EngineFailed is called after a call that the engine did not answer.
 	EngineFailed func()
 }
@@ -92,6 +95,7 @@
 		now:       time.Now,
 		usable:    o.Usable,
 		stepwise:  o.StepwiseReplay,
+		refused:   o.Refused,
 		sequences: make(map[request.ID]*sequence),
 		closed:    make(map[request.ID]closedSequence),
 	}
@@ -133,10 +137,17 @@
 	answer := &peer.SequenceOpened{Request: open.Request, Attempt: open.Attempt}
 	seq, reason := s.bindLocked(entry, open)
 	answer.Refused = reason
+	if reason != "" && s.refused != nil {
+		s.refused(reason)
+	}
 	if seq != nil {
 		answer.Next = seq.cursor.Next()
 	}
-	_ = entry.Send(answer)
+	if err := entry.Send(answer); err != nil && seq != nil {
+		// The connection ended while the next stage was dialed, so Disconnected
+		// has already run for it.
+		seq.orphaned = s.now()
+	}
 }
 
 func (s *Stage) bindLocked(entry peer.Sender, open *peer.OpenSequence) (*sequence, peer.RefusalReason) {
@@ -156,6 +167,11 @@
 		}
 		seq = s.newSequence(open)
 	}
+	if open.Attempt > seq.cursor.Attempt() {
+		// Steps that wait may come from a stage that the new attempt replaced.
+		// The stage before this one sends them again.
+		clear(seq.pending)
+	}
 	if err := seq.cursor.Bind(open.Attempt); err != nil {
 		return nil, peer.RefusedStaleAttempt
 	}
@@ -343,7 +359,9 @@
 		s.mu.Unlock()
 		return
 	}
-	s.closed[c.Request] = closedSequence{attempt: c.Attempt, at: s.now()}
+	// Frames of an earlier connection may be handled after those of a later one.
+	highest := max(c.Attempt, s.closed[c.Request].attempt)
+	s.closed[c.Request] = closedSequence{attempt: highest, at: s.now()}
 	s.removeLocked(c.Request)
 	s.mu.Unlock()
 }
