entry: Stay unready until the configuration of every peer is installed

Cause: a replica shows each change of a batch as it installs it, and an entry counted as ready from revision 1 on. An entry that starts was therefore ready for a moment with a part of the configuration, and could refuse callers whose team came later. Change: an entry that starts is ready once its replica holds the highest revision that a connected peer has shown. Later changes don't make it unready.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,7 +143,10 @@
 	traces    *traces
 	meters    *meters
 	leaving   atomic.Bool
-	closing   atomic.Bool
+	// caughtUp is set once the replica holds what every peer has shown. A later
+	// change does not make the entry unready.
+	caughtUp atomic.Bool
+	closing  atomic.Bool
 }
 
 // New listens on the entry's addresses. It returns a listener's error.
@@ -320,9 +323,21 @@
 	if e.leaving.Load() {
 		return errors.Join(ErrNotReady, errors.New("leaving"))
 	}
-	if e.replica.Revision() == 0 {
+	if e.caughtUp.Load() {
+		return nil
+	}
+	revision := uint64(e.replica.Revision())
+	if revision == 0 {
 		return errors.Join(ErrNotReady, errors.New("no configuration"))
 	}
+	// While an entry that has just started installs the log change by change,
+	// it would answer from an older configuration.
+	for _, c := range e.node.Conns() {
+		if c.Revision() > revision {
+			return errors.Join(ErrNotReady, errors.New("behind the configuration of a peer"))
+		}
+	}
+	e.caughtUp.Store(true)
 	return nil
 }
 
