--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -46,7 +46,7 @@
 		})
 	}
 	progress.Wait()
-	c.disturb(random, 6)
+	c.disturb(random, 8)
 	wg.Wait()
 	c.ready()
 	whole, failed := 0, 0
@@ -67,19 +67,21 @@
 	refused.check(c)
 }
 
-// disturb brings faults about one after another: a stage is killed or frozen,
-// or a link between stages is slowed down, and repaired again.
+// disturb brings faults about one after another and repairs each: a stage is
+// killed or frozen, or a link is limited to 20 KB/s or delayed.
 func (c *cluster) disturb(random *rand.Rand, faults int) {
 	for i := range faults {
 		e := c.busiest(random.IntN(stages))
 		var repair func()
-		switch i % 3 {
+		switch i % 4 {
 		case 0:
 			e.kill()
 			repair = e.start
 		case 1:
 			e.freeze()
 			repair = e.thaw
+		case 2:
+			repair = c.links.toxic(c.entries[random.IntN(2)].id, e.id, "bandwidth", `{"rate":20}`)
 		default:
 			repair = c.links.toxic(c.entries[random.IntN(2)].id, e.id, "latency", `{"latency":40,"jitter":20}`)
 		}
