entry: Probe the stages of a sequence that makes no progress

Cause: a frozen stage keeps its connections and is found only when nothing has arrived for suspect_after (1 s). A reader waits for the next token that long. A shorter suspect_after was ruled out: 250 ms would need four times the heartbeats, which CAPACITY counts first against the limit.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -87,6 +87,7 @@
 		firstToken: time.Duration(p.FirstTokenMillis) * time.Millisecond,
 		deadline:   time.Now().Add(time.Duration(p.DeadlineMillis) * time.Millisecond),
 		noResume:   p.NoResume,
+		suspect:    e.membership.suspect,
 		retries:    e.retries,
 		outliers:   e.outliers,
 		star:       e.options.Star,
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -232,6 +232,13 @@
 	}
 }
 
+// suspect makes an upstream suspect until its next heartbeat.
+func (m *membership) suspect(u *upstream.Upstream) {
+	if t, err := m.directory.Lost(u.ID, u.Process); err == nil {
+		logTransitions(m.log, t)
+	}
+}
+
 // disconnected makes a sidecar suspect.
 func (m *membership) disconnected(c *peer.Conn) {
 	h := c.Hello()
--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -84,11 +84,13 @@
 	ended      bool
 
 	usedPromptTokens int
-	retries          *team.RetryBudget
-	outliers         *outliers
-	trace            *trace
-	meters           *meters
-	log              *events.Logger
+	// suspect marks an upstream as suspect; nil in tests.
+	suspect  func(*upstream.Upstream)
+	retries  *team.RetryBudget
+	outliers *outliers
+	trace    *trace
+	meters   *meters
+	log      *events.Logger
 	// lastToken is when the latest token arrived, and lostAt when a stage was
 	// lost since then; zero if none.
 	lastToken time.Time
@@ -226,10 +228,14 @@
 			lost[i] = err.Error()
 		}
 	}
+	stall := newStallTimer()
+	defer stall.stop()
 	for !s.allAnswered(lost) {
 		select {
 		case <-s.notify:
 			s.handleOpenEvents(lost)
+		case <-stall.timer.C:
+			maps.Copy(lost, s.checkStall(stall))
 		case <-ctx.Done():
 			s.markUnanswered(lost)
 			return lost
@@ -380,12 +386,20 @@
 // follow passes tokens on until the answer ends or a stage is lost. It
 // returns the indexes of lost stages.
 func (s *sequence) follow(ctx context.Context, deliver func(request.Piece) error) (map[int]string, error) {
+	stall := newStallTimer()
+	defer stall.stop()
 	for {
 		select {
 		case <-s.notify:
+		case <-stall.timer.C:
+			if lost := s.checkStall(stall); len(lost) > 0 {
+				return lost, nil
+			}
+			continue
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
+		stall.progress()
 		lost := make(map[int]string)
 		for _, e := range s.takeEvents() {
 			if err := s.handleEvent(e, lost, deliver); err != nil {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -29,6 +29,9 @@
 	// writeTimeout bounds one WebSocket write. A peer that is stopped and does
 	// not read is found by heartbeats first.
 	writeTimeout = 10 * time.Second
+	// minPingInterval is the least time between two pings of one connection.
+	// Many sequences may ask at the same time.
+	minPingInterval = 50 * time.Millisecond
 	// rttSmoothing is the weight of a new round-trip sample.
 	rttSmoothing = 0.25
 )
@@ -257,10 +260,18 @@
 	}
 }
 
-func (c *Conn) ping() {
+// Ping asks the peer for an answer, which also measures the round trip.
+//
+// A ping that was sent a moment ago serves for this call too.
+func (c *Conn) Ping() {
 	c.pingMu.Lock()
+	now := time.Now()
+	if now.Sub(c.pingSent) < minPingInterval {
+		c.pingMu.Unlock()
+		return
+	}
 	c.pingNumber++
-	c.pingSent = time.Now()
+	c.pingSent = now
 	number := c.pingNumber
 	c.pingMu.Unlock()
 	_ = c.Send(&Ping{Number: number})
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -354,7 +354,7 @@
 func (n *Node) pingLoop(ctx context.Context, c *Conn) {
 	ticker := time.NewTicker(n.options.PingInterval)
 	defer ticker.Stop()
-	c.ping()
+	c.Ping()
 	last := n.options.Now()
 	for {
 		select {
@@ -372,7 +372,7 @@
 			c.Close()
 			return
 		}
-		c.ping()
+		c.Ping()
 	}
 }
 
