--- a/internal/entry/schedule_test.go
+++ b/internal/entry/schedule_test.go
@@ -18,6 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/pipeline"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
@@ -537,7 +538,7 @@
 func simulate(t *testing.T, seed uint64, count map[string]int) (trace uint64) {
 	synctest.Test(t, func(t *testing.T) {
 		sim := &simulation{
-			t: t, rng: rand.New(rand.NewPCG(seed, 0)), count: count, table: newSequenceTable(),
+			t: t, rng: rand.New(rand.NewPCG(seed, 0)), count: count, table: newSequenceTable(events.Nop()),
 			chains: map[string]string{}, bound: map[string]acceptance{}, recent: map[[2]*simProcess][]peer.Frame{},
 		}
 		sim.entry = &simProcess{simulation: sim, name: "entry", dialed: map[string]*end{}}
--- a/internal/entry/sequence.go
+++ b/internal/entry/sequence.go
@@ -432,13 +432,16 @@
 var errExpired = errors.New("entry: the deadline passed in the queue")
 
 func (s *sequence) handleFailure(i int, f *peer.SequenceFailed, lost map[int]string) error {
-	if dropped := f.Reason == peer.FailedEngine || f.Reason == peer.FailedDeadline; i == 0 && dropped && !f.Ran {
+	dropped := f.Reason == peer.FailedEngine || f.Reason == peer.FailedDeadline
+	if i == 0 && dropped && !f.Ran {
 		// The first stage dropped its only step, so nothing is left to run. A
-		// report about the next stage may have been sent before the step came.
+		// report about the next stage says nothing about the step, which may
+		// still be on its way.
 		s.unresolved = false
 	}
 	switch f.Reason {
 	case peer.FailedLog:
+		s.log.LogLimited(events.OutputLogExceeded).Str("request", string(s.id)).Str("upstream", string(s.stages[i].ID)).Send()
 		return fmt.Errorf("%w: %s", errSequenceFailed, f.Detail)
 	case peer.FailedDeadline:
 		return errExpired
--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -44,10 +44,11 @@
 type Stage struct {
 	peers     peer.Dialer
 	scheduler *scheduler
-	logBytes  int
+	logs      *pipeline.LogBudget
 	now       func() time.Time
 	// usable reports whether the engine answers.
-	usable func() bool
+	usable  func() bool
+	refused func(peer.RefusalReason)
 	// stepwise runs the steps of a replayed log one by one.
 	stepwise bool
 
@@ -77,6 +78,8 @@
 	StepwiseReplay bool
 	// Usable reports whether the engine answers.
 	Usable func() bool
+	// Refused is called when a new sequence is refused; nil means no call.
+	Refused func(peer.RefusalReason)
 	// EngineFailed is called after a call that the engine did not answer.
 	EngineFailed func()
 }
@@ -88,10 +91,11 @@
 	stage := &Stage{
 		peers:     peers,
 		scheduler: s,
-		logBytes:  o.OutputLogBytes,
+		logs:      pipeline.NewLogBudget(o.OutputLogBytes),
 		now:       time.Now,
 		usable:    o.Usable,
 		stepwise:  o.StepwiseReplay,
+		refused:   o.Refused,
 		sequences: make(map[request.ID]*sequence),
 		closed:    make(map[request.ID]closedSequence),
 	}
@@ -133,6 +137,9 @@
 	answer := &peer.SequenceOpened{Request: open.Request, Attempt: open.Attempt}
 	seq, reason := s.bindLocked(entry, open)
 	answer.Refused = reason
+	if reason != "" && s.refused != nil {
+		s.refused(reason)
+	}
 	if seq != nil {
 		answer.Next = seq.cursor.Next()
 	}
@@ -176,7 +183,7 @@
 
 func (s *Stage) newSequence(open *peer.OpenSequence) *sequence {
 	seq := &sequence{
-		log:      pipeline.NewOutputLog(s.logBytes),
+		log:      pipeline.NewOutputLog(s.logs),
 		pending:  make(map[request.Position]*peer.Step),
 		engineID: engineSequenceID(open.Request, open.Attempt),
 		deadline: s.now().Add(time.Duration(open.DeadlineMillis) * time.Millisecond),
@@ -366,6 +373,7 @@
 		return
 	}
 	delete(s.sequences, id)
+	seq.log.Release()
 	s.scheduler.drop(id)
 	s.scheduler.cancel(seq.engineID)
 }
