planner: Keep more templates for a model of few groups

With one replica of a stage in each failure domain, every group has one member, so only the choice between templates spreads the load, and 4 of 27 possible chains do not reach all replicas evenly: 145 to 178 requests each, against 163 or 164 in the naive version. The most loaded replica starved waiting prompts. Change: 16 templates for a model of at most 16 groups, 4 as before for larger ones. 16 for all was ruled out: the rebuild would rise from 0.2 to 0.6 ms for 88 groups, 7% of a core over 31 models.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -21,6 +21,12 @@
 	// Templates is the number of template paths kept for each model and set of
 	// failure domains (K).
 	Templates = 4
+	// SmallTemplates is K for a model of at most SmallModel groups. Such a model
+	// has few upstreams in each group, so that only the choice between
+	// templates spreads the load; with many groups a rebuild of so many
+	// templates would cost 7% of a core over 31 models.
+	SmallTemplates = 16
+	SmallModel     = 16
 	// Hysteresis is the margin by which a new template must be cheaper than a
 	// feasible old one to replace it. It prevents templates from flapping with
 	// the noise of load reports.
@@ -221,20 +227,20 @@
 			}
 		}
 	}
-	next.templates = merge(kept, p.cheapest(model, domains, Exclude{}))
+	next.templates = merge(kept, p.cheapest(model, domains, Exclude{}), p.templateLimit(model))
 	return next
 }
 
 // merge applies the hysteresis: feasible old templates stay, new ones fill the
 // free places, and a further new one replaces the most expensive template only
 // if it is cheaper by the margin.
-func merge(kept, found []*Template) []*Template {
+func merge(kept, found []*Template, limit int) []*Template {
 	result := kept
 	for _, t := range found {
 		if slices.ContainsFunc(result, t.same) {
 			continue
 		}
-		if len(result) < Templates {
+		if len(result) < limit {
 			result = append(result, t)
 			continue
 		}
--- a/internal/planner/template.go
+++ b/internal/planner/template.go
@@ -95,7 +95,7 @@
 	layers  int
 }
 
-// cheapest returns up to Templates cheapest chains of a model over all its
+// cheapest returns the templateLimit cheapest chains of a model over all its
 // variants, cheapest first.
 func (p *Planner) cheapest(model string, domains Domains, exclude Exclude) []*Template {
 	variants := make(map[variant][]*upstream.Group)
@@ -108,7 +108,23 @@
 		found = append(found, p.shortest(p.whole(v.layers), groups)...)
 	}
 	slices.SortFunc(found, compareTemplates)
-	return found[:min(len(found), Templates)]
+	return found[:min(len(found), p.templateLimit(model))]
+}
+
+// templateLimit returns the number of templates kept for a model.
+func (p *Planner) templateLimit(model string) int {
+	m := p.directory.Model(model)
+	if m == nil {
+		return Templates
+	}
+	return templateLimit(len(m.Groups))
+}
+
+func templateLimit(groups int) int {
+	if groups <= SmallModel {
+		return SmallTemplates
+	}
+	return Templates
 }
 
 // candidates returns the groups of a model that may be chosen, in the order of
@@ -148,7 +164,7 @@
 	prev  *partial
 }
 
-// shortest returns up to Templates cheapest group sequences that cover a span,
+// shortest returns up to templateLimit cheapest group sequences that cover a span,
 // cheapest first. The groups must be of one variant. It is a shortest-path
 // computation over the states (boundary, group): a path's groups have strictly
 // increasing boundaries, so one pass in order of boundary visits every state
@@ -159,6 +175,7 @@
 	slices.SortStableFunc(groups, func(a, b *upstream.Group) int {
 		return cmp.Compare(a.Key.Layers.From, b.Key.Layers.From)
 	})
+	limit := templateLimit(len(groups))
 	ending := make(map[int][]*partial)
 	for _, g := range groups {
 		l := g.Key.Layers
@@ -168,17 +185,17 @@
 		step := g.Cost()
 		var best []*partial
 		if l.From == s.layers.From {
-			best = keepCheapest(best, p.link(s.source, g.Key.Domain, s.sourceBytes)+step, g, nil)
+			best = keepCheapest(limit, best, p.link(s.source, g.Key.Domain, s.sourceBytes)+step, g, nil)
 		}
 		for _, prev := range ending[l.From] {
 			link := p.link(prev.group.Key.Domain, g.Key.Domain, p.config.ActivationBytes)
-			best = keepCheapest(best, prev.cost+link+step, g, prev)
+			best = keepCheapest(limit, best, prev.cost+link+step, g, prev)
 		}
 		ending[l.To] = append(ending[l.To], best...)
 	}
 	var best []*partial
 	for _, last := range ending[s.layers.To] {
-		best = keepCheapest(best, last.cost+p.link(last.group.Key.Domain, s.target, s.targetBytes), last.group, last)
+		best = keepCheapest(limit, best, last.cost+p.link(last.group.Key.Domain, s.target, s.targetBytes), last.group, last)
 	}
 	var found []*Template
 	for _, end := range best {
@@ -192,13 +209,13 @@
 	return found
 }
 
-// keepCheapest inserts a partial path into a sorted list of at most Templates.
-func keepCheapest(best []*partial, cost time.Duration, g *upstream.Group, prev *partial) []*partial {
-	if len(best) == Templates {
-		if cost >= best[Templates-1].cost {
+// keepCheapest inserts a partial path into a sorted list of at most limit.
+func keepCheapest(limit int, best []*partial, cost time.Duration, g *upstream.Group, prev *partial) []*partial {
+	if len(best) == limit {
+		if cost >= best[limit-1].cost {
 			return best
 		}
-		best = best[:Templates-1]
+		best = best[:limit-1]
 	}
 	at := len(best)
 	for at > 0 && cost < best[at-1].cost {
