--- a/internal/bench/stats.go
+++ b/internal/bench/stats.go
@@ -33,14 +33,6 @@
 	return float64(l.h.ValueAtPercentile(percentile)) / 1000
 }
 
-// meanMillis returns the mean in milliseconds, or NaN if nothing was added.
-func (l latencies) meanMillis() float64 {
-	if l.h.TotalCount() == 0 {
-		return math.NaN()
-	}
-	return l.h.Mean() / 1000
-}
-
 // outcome sums up the answers of a load.
 type outcome struct {
 	offered, answered, completed int
