Show batches of changes at once and redial sooner

Cause: a replica showed each change of a batch as it applied it, so an entry that starts from the store could be ready with some teams and refuse the others. And one or two in 30 kills of a stage took 300 ms or more to resume, without a known cause; the only replacement was often one that had restarted a moment before and that the entry redialled every 250 ms. Change: ApplyAll publishes the state once. Addresses are dialled again after 25 ms, doubling to 1 s. Result: the new test sees revision 200 at once; with change-by-change publishing it can see an earlier one.

--- a/internal/config/replica.go
+++ b/internal/config/replica.go
@@ -57,44 +57,54 @@
 func (r *Replica) Apply(c Change) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err := r.apply(c); err != nil {
+	next, err := r.extend(r.State(), c)
+	if err != nil {
 		return err
 	}
+	r.state.Store(next)
 	r.notify()
 	return nil
 }
 
 // ApplyAll applies changes in order and skips those that the replica already
-// has. It returns ErrGap or ErrDiverged and keeps what it applied before.
+// has. Readers see all of them at once, so that a process which starts is not
+// ready with a part of the configuration. It returns ErrGap or ErrDiverged and
+// keeps what it applied before.
 func (r *Replica) ApplyAll(changes []Change) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.Revision()
+	before := r.State()
+	state := before
 	var result error
 	for _, c := range changes {
-		if err := r.apply(c); err != nil && !errors.Is(err, ErrStale) {
+		next, err := r.extend(state, c)
+		if errors.Is(err, ErrStale) {
+			continue
+		}
+		if err != nil {
 			result = err
 			break
 		}
+		state = next
 	}
-	if r.Revision() > before {
+	if state != before {
+		r.state.Store(state)
 		r.notify()
 	}
 	return result
 }
 
-func (r *Replica) apply(c Change) error {
-	current := r.State()
+// extend returns the state after a change and keeps the change for Since.
+func (r *Replica) extend(current *State, c Change) (*State, error) {
 	switch next := current.Revision() + 1; {
 	case c.Revision < next:
 		if known, ok := r.recentAt(c.Revision); ok && known.ID != c.ID {
-			return ErrDiverged
+			return nil, ErrDiverged
 		}
-		return ErrStale
+		return nil, ErrStale
 	case c.Revision > next:
-		return ErrGap
+		return nil, ErrGap
 	}
-	r.state.Store(current.With(c))
 	r.recent = append(r.recent, c)
 	r.recentBytes += c.size()
 	for len(r.recent) > MaxRecentChanges || r.recentBytes > MaxRecentBytes {
@@ -102,7 +112,7 @@
 		r.recent[0] = Change{}
 		r.recent = r.recent[1:]
 	}
-	return nil
+	return current.With(c), nil
 }
 
 // changeOverheadBytes bounds the encoded fields of a change other than its
@@ -112,7 +122,7 @@
 func (c *Change) size() int { return len(c.Before) + len(c.After) + changeOverheadBytes }
 
 func (r *Replica) recentAt(revision Revision) (Change, bool) {
-	if len(r.recent) == 0 || revision < r.recent[0].Revision || revision > r.Revision() {
+	if len(r.recent) == 0 || revision < r.recent[0].Revision || revision > r.recent[len(r.recent)-1].Revision {
 		return Change{}, false
 	}
 	return r.recent[revision-r.recent[0].Revision], true
--- a/internal/config/replica_test.go
+++ b/internal/config/replica_test.go
@@ -189,3 +189,29 @@
 		}
 	})
 }
+
+// Guards against a reader that sees a part of a batch: an entry that starts
+// would be ready with some of the teams and refuse the others.
+func TestApplyAllShowsABatchAtOnce(t *testing.T) {
+	var changes []Change
+	state := NewState()
+	for i := range 200 {
+		name := fmt.Sprintf("p%d", i)
+		c, err := state.Next(Proposal{ID: name, Author: "a", Kind: KindPlacement, Name: name,
+			Value: json.RawMessage(fmt.Sprintf(`{"name":%q,"version":"1"}`, name))}, time.Unix(1, 0))
+		assert.NilError(t, err)
+		changes = append(changes, c)
+		state = state.With(c)
+	}
+	r := NewReplica()
+	seen := make(chan Revision)
+	go func() {
+		revision := Revision(0)
+		for revision == 0 {
+			revision = r.Revision()
+		}
+		seen <- revision
+	}()
+	assert.NilError(t, r.ApplyAll(changes))
+	assert.Equal(t, <-seen, Revision(200))
+}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -18,9 +18,11 @@
 	// staleReadings is the number of failed reads after which the list counts
 	// as stale.
 	staleReadings = 5
-	// redialInterval is the least time between two attempts to reach an
-	// address.
-	redialInterval = 250 * time.Millisecond
+	// redialInterval is the time between looks for addresses to dial, and the
+	// wait after the first failure to reach one. It doubles up to maxRedial.
+	// A restarted upstream is often the only replacement for another one.
+	redialInterval = 25 * time.Millisecond
+	maxRedial      = time.Second
 	// sweepInterval is the time between looks for missing heartbeats.
 	sweepInterval = 100 * time.Millisecond
 	// memberDialTimeout bounds one attempt to reach an address.
@@ -58,6 +60,8 @@
 	seed       bool
 	dialing    bool
 	lastDial   time.Time
+	// failures counts the attempts since the last success.
+	failures int
 }
 
 func newMembership(node *peer.Node, directory *upstream.Directory, lister instanceLister, self, domain string, seeds []string, log *events.Logger) *membership {
@@ -164,7 +168,7 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	for key, a := range m.addresses {
-		if key == m.self || a.dialing || now.Sub(a.lastDial) < redialInterval || m.node.Connection(key) != nil {
+		if key == m.self || a.dialing || now.Sub(a.lastDial) < a.wait() || m.node.Connection(key) != nil {
 			continue
 		}
 		a.dialing = true
@@ -181,8 +185,18 @@
 		m.log.LogLimited(events.PeerRejected).Str("address", key).Err(err).Send()
 	}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	a.dialing = false
-	m.mu.Unlock()
+	a.failures++
+	if err == nil {
+		a.failures = 0
+	}
+}
+
+// wait returns the least time between two attempts to reach the address.
+func (a *address) wait() time.Duration {
+	const doublings = 6 // reach maxRedial
+	return min(redialInterval<<min(a.failures, doublings), maxRedial)
 }
 
 // connected adds a sidecar to the directory.
