Read-through: smaller files, and try another sidecar after a released claim

Reading showed that a purchase was refused when the first sidecar could not reach its service, although nothing was sent and the claim was released.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -65,6 +65,13 @@
 	e.usage.Begin(now, name)
 }
 
+// endWork ends what beginWork counted.
+func (e *Entry) endWork(name string, tokens int) {
+	now := time.Now()
+	e.usage.Serve(now, name, tokens)
+	e.usage.End(now, name)
+}
+
 // ownLoads returns the load of every team at this entry.
 func (e *Entry) ownLoads() []peer.TeamLoad {
 	var loads []peer.TeamLoad
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/callerapi"
@@ -12,6 +11,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
+	"github.com/nutmegroute/nutmegroute/internal/planner"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
@@ -32,66 +32,6 @@
 	callRetryFraction = 0.2
 )
 
-// pendingCall waits for the answer to one dispatch.
-type pendingCall struct {
-	conn   *peer.Conn
-	result chan *peer.CallResult
-}
-
-// callTable routes results to the dispatches of this process.
-type callTable struct {
-	mu   sync.Mutex
-	byID map[callID]*pendingCall
-}
-
-type callID struct {
-	request request.ID
-	attempt request.Attempt
-}
-
-func newCallTable() *callTable {
-	return &callTable{byID: make(map[callID]*pendingCall)}
-}
-
-func (t *callTable) add(id callID, conn *peer.Conn) *pendingCall {
-	p := &pendingCall{conn: conn, result: make(chan *peer.CallResult, 1)}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.byID[id] = p
-	return p
-}
-
-func (t *callTable) remove(id callID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.byID, id)
-}
-
-func (t *callTable) deliver(f *peer.CallResult) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if p := t.byID[callID{f.Request, f.Attempt}]; p != nil {
-		select {
-		case p.result <- f:
-		default:
-		}
-	}
-}
-
-// lost ends the dispatches over a connection without a result.
-func (t *callTable) lost(c *peer.Conn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, p := range t.byID {
-		if p.conn == c {
-			select {
-			case p.result <- nil:
-			default:
-			}
-		}
-	}
-}
-
 // call drives one request to a plain service.
 type call struct {
 	entry    *Entry
@@ -101,9 +41,9 @@
 	// patience is until when the call waits for a usable upstream.
 	patience time.Time
 
-	attempt  request.Attempt
-	excluded map[upstream.InstanceID]bool
-	random   *rand.Rand
+	attempt request.Attempt
+	tried   []upstream.InstanceID
+	random  *rand.Rand
 	// uncertain is true once a dispatch ended without an answer, so that the
 	// call may have run or may still run.
 	uncertain bool
@@ -132,7 +72,6 @@
 		entry: e, request: r, op: op,
 		deadline: now.Add(time.Duration(op.DeadlineMillis) * time.Millisecond),
 		patience: now.Add(callPatience),
-		excluded: make(map[upstream.InstanceID]bool),
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		trace:    e.traces.start(r.ID, r.Team, r.Service+"/"+r.Operation),
 	}
@@ -142,7 +81,7 @@
 	defer e.openCalls.Add(-1)
 	e.retries.Request(r.Team, callRetryFraction)
 	e.beginWork(r.Team)
-	defer e.usage.End(time.Now(), r.Team)
+	defer e.endWork(r.Team, 0)
 	result := c.run(ctx)
 	c.trace.end(result.Outcome)
 	e.meters.requestEnded("service", r.Team, result.Outcome)
@@ -160,7 +99,7 @@
 			}
 			continue
 		}
-		c.excluded[u.ID] = true
+		c.tried = append(c.tried, u.ID)
 		if c.attempt > 0 && !c.mayRetry(ctx) {
 			break
 		}
@@ -203,7 +142,7 @@
 
 // pause waits before all upstreams are tried again.
 func (c *call) pause(ctx context.Context) bool {
-	clear(c.excluded)
+	c.tried = nil
 	select {
 	case <-time.After(redispatchPause):
 		return true
@@ -212,22 +151,13 @@
 	}
 }
 
-// choose returns the usable upstream with the least work in flight, or nil.
+// choose returns a usable upstream that has not been tried, or nil.
 func (c *call) choose() *upstream.Upstream {
-	group := c.entry.directory.Service(c.request.Service)
-	if group == nil {
+	u, _, err := c.entry.planner.ChooseService(time.Now(), c.random, c.request.Service, planner.Exclude{Upstreams: c.tried})
+	if err != nil {
 		return nil
 	}
-	var best *upstream.Upstream
-	for _, u := range group.Members().List {
-		if c.excluded[u.ID] {
-			continue
-		}
-		if best == nil || u.InFlight() < best.InFlight() {
-			best = u
-		}
-	}
-	return best
+	return u
 }
 
 // dispatch sends the call to one upstream. It returns nil if the call was
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -31,7 +31,16 @@
 	if e.draining() {
 		return callerapi.ChatResult{Result: busy("the entry is leaving")}
 	}
+	e.retries.Request(r.Team, p.RetryBudget)
 	s := e.newSequence(r, p)
+	result := e.serveSequence(ctx, s, token)
+	s.trace.end(result.Outcome)
+	e.meters.requestEnded("chat", s.team, result.Outcome)
+	return result
+}
+
+// serveSequence runs a sequence if admission control lets it pass.
+func (e *Entry) serveSequence(ctx context.Context, s *sequence, token func(text string) error) callerapi.ChatResult {
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
 	e.sequences.add(s)
@@ -39,23 +48,17 @@
 	if refusal := e.admit(s); refusal != nil {
 		e.usage.Refuse(time.Now(), s.team)
 		s.trace.add(0, traceRefused, refusal.Err.Message)
-		s.trace.end(refusal.Outcome)
-		e.meters.requestEnded("chat", s.team, refusal.Outcome)
 		return callerapi.ChatResult{Result: *refusal}
 	}
-	e.retries.Request(s.team, p.RetryBudget)
 	e.beginWork(s.team)
-	defer e.usage.End(time.Now(), s.team)
 	err := s.run(ctx, func(p request.Piece) error {
 		if p.Text == "" {
 			return nil // the end of an answer carries no text
 		}
 		return token(p.Text)
 	})
+	e.endWork(s.team, len(s.tokens))
 	result := s.result(err)
-	e.usage.Serve(time.Now(), s.team, len(s.tokens))
-	s.trace.end(result.Outcome)
-	e.meters.requestEnded("chat", s.team, result.Outcome)
 	if result.Outcome != request.OutcomeCompleted && ctx.Err() == nil {
 		e.logFailedChat(s, result)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/nutmegroute/nutmegroute/internal/callerapi"
@@ -24,7 +23,6 @@
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
-	"github.com/nutmegroute/nutmegroute/internal/platform"
 	"github.com/nutmegroute/nutmegroute/internal/platform/objectstore"
 	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/team"
@@ -39,148 +37,107 @@
 	planInterval = 250 * time.Millisecond
 )
 
-// Options configure an Entry.
-type Options struct {
-	ID            string
-	FailureDomain string
-	// PeerListen is the address of the peer listener; Advertise is what peers
-	// are told. An empty Advertise means the listener's address.
-	PeerListen   string
-	Advertise    string
-	CallerListen string
-	Secret       string
-	// Seeds are peer addresses to dial besides the platform's list.
-	Seeds []string
-	// HeartbeatInterval is the time between heartbeats. Default 250 ms.
-	HeartbeatInterval time.Duration
-	// SuspectAfter is the silence after which a peer counts as lost. Default
-	// 1 s.
-	SuspectAfter time.Duration
-	// Star sends activations through the entry. Default false.
-	Star bool
-	// RoundRobin takes upstreams in turn. It is the baseline of the
-	// measurements. Default false.
-	RoundRobin bool
-	// NoCoalescing writes each frame between processes as a message of its
-	// own. It exists to measure what coalescing gains. Default false.
-	NoCoalescing bool
-	// Dial makes the connections to peers. Default net.Dialer.
-	Dial peer.DialFunc
-	// DrainDelay is the time during which a leaving entry still accepts
-	// requests. Default 2 s.
-	DrainDelay time.Duration
-	// DrainTimeout bounds a planned stop. Default 10 min.
-	DrainTimeout time.Duration
-
-	// MaxBody and MaxHeader bound a caller's request, in bytes. Defaults 1 MiB
-	// and 32 KiB.
-	MaxBody   int
-	MaxHeader int
-
-	// AdminListen is the address of the operators' API. Default none.
-	AdminListen string
-	// Operators maps names to the SHA-256 digests of their keys.
-	Operators map[string]string
-
-	// MaxInFlight bounds the requests in progress. Default 4096.
-	MaxInFlight int
-
-	// TLS protects the peer connections. Default nil: plain TCP.
-	TLS *tls.Config
-	// Platform is the client of the platform's object API and list.
-	Platform *platform.Client
-	// Log receives events. Default none.
-	Log *events.Logger
-	// Scope receives metrics and Metrics serves them. Default none.
-	Scope   tally.Scope
-	Metrics http.Handler
-}
-
-func (o Options) withDefaults() Options {
-	process.SetDefault(&o.HeartbeatInterval, 250*time.Millisecond)
-	process.SetDefault(&o.SuspectAfter, time.Second)
-	process.SetDefault(&o.DrainDelay, 2*time.Second)
-	process.SetDefault(&o.DrainTimeout, 10*time.Minute)
-	process.SetDefault(&o.MaxInFlight, 4096)
-	process.SetDefault(&o.Log, events.Nop())
-	if o.Scope == nil {
-		o.Scope = tally.NoopScope
-	}
-	if o.Metrics == nil {
-		o.Metrics = http.NotFoundHandler()
-	}
-	return o
-}
-
 // Entry is one entry process.
 type Entry struct {
 	options        Options
 	node           *peer.Node
 	peerListener   net.Listener
 	callerListener net.Listener
-	adminListener  net.Listener
-	directory      *upstream.Directory
-	membership     *membership
-	replica        *config.Replica
-	store          *config.Store
-	canceller      *operation.Canceller
-	orderer        *orderer
-	sync           *configsync.Syncer
-	loads          *loadBoard
-	outliers       *outliers
-	retries        *team.RetryBudget
-	peers          *entryBoard
-	admissions     *admissions
-	planner        *planner.Planner
-	chooser        chooser
-	sequences      *sequenceTable
-	calls          *callTable
-	openCalls      atomic.Int64
-	usage          *team.Counters
-	// own is the latest report of the teams' load at this entry.
-	own       atomic.Pointer[[]peer.TeamLoad]
+	// adminListener is nil without an operators' API.
+	adminListener net.Listener
+
+	// The configuration.
+	replica   *config.Replica
+	store     *config.Store
+	sync      *configsync.Syncer
 	storeDown atomic.Bool
-	traces    *traces
-	meters    *meters
-	leaving   atomic.Bool
 	// caughtUp is set once the replica holds what every peer has shown. A later
 	// change does not make the entry unready.
 	caughtUp atomic.Bool
-	closing  atomic.Bool
+
+	// The upstreams and the choice among them.
+	directory  *upstream.Directory
+	membership *membership
+	planner    *planner.Planner
+	chooser    chooser
+	outliers   *outliers
+	orderer    *orderer
+
+	// The load of the teams: as sidecars report it, as other entries report
+	// it, and at this entry.
+	loads      *loadBoard
+	peers      *entryBoard
+	usage      *team.Counters
+	own        atomic.Pointer[[]peer.TeamLoad]
+	admissions *admissions
+	retries    *team.RetryBudget
+
+	// The requests in progress.
+	sequences *sequenceTable
+	calls     *callTable
+	openCalls atomic.Int64
+	canceller *operation.Canceller
+	traces    *traces
+	meters    *meters
+
+	// leaving is set when a planned stop begins, closing when new requests are
+	// refused.
+	leaving atomic.Bool
+	closing atomic.Bool
 }
 
 // New listens on the entry's addresses. It returns a listener's error.
 func New(options Options) (*Entry, error) {
 	options = options.withDefaults()
-	e := &Entry{options: options, replica: config.NewReplica(), sequences: newSequenceTable(options.Log), calls: newCallTable(), traces: newTraces(), meters: newMeters(options.Scope), usage: team.NewCounters(time.Now())}
+	e := &Entry{
+		options:   options,
+		replica:   config.NewReplica(),
+		directory: upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter}),
+		sequences: newSequenceTable(options.Log),
+		calls:     newCallTable(),
+		loads:     newLoadBoard(),
+		peers:     newEntryBoard(),
+		retries:   team.NewRetryBudget(),
+		usage:     team.NewCounters(time.Now()),
+		traces:    newTraces(),
+		meters:    newMeters(options.Scope),
+	}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
-	e.node = peer.NewNode(peer.Hello{
-		Role: peer.RoleEntry, ID: options.ID, Address: e.options.Advertise, FailureDomain: options.FailureDomain,
-	}, e, func() uint64 { return uint64(e.replica.Revision()) }, peer.Options{
-		Secret: options.Secret, PingInterval: options.HeartbeatInterval, IdleTimeout: options.SuspectAfter,
-		NoCoalescing: options.NoCoalescing, Dial: options.Dial, TLS: options.TLS,
-	})
-	e.directory = upstream.NewDirectory(upstream.DirectoryConfig{SuspectAfter: options.SuspectAfter})
+	e.connect()
+	e.useStore()
 	e.outliers = newOutliers(e.directory, options.Log)
-	e.retries = team.NewRetryBudget()
-	e.loads = newLoadBoard()
-	e.peers = newEntryBoard()
 	e.admissions = newAdmissions(e.loads, e.replica)
 	e.planner = planner.New(planner.Config{Domain: options.FailureDomain}, e.directory)
 	e.chooser = plannedChooser{e.planner}
 	if options.RoundRobin {
 		e.chooser = &roundRobin{directory: e.directory}
 	}
-	e.store = config.NewStore(options.Platform, e.replica, time.Now, e.reportStore)
-	e.canceller = operation.NewCanceller(objectstore.NewRecords(options.Platform), operation.Options{})
-	e.orderer = newOrderer(e, objectstore.NewLeases(options.Platform))
+	return e, nil
+}
+
+// connect makes the parts that talk to peers.
+func (e *Entry) connect() {
+	o := e.options
+	hello := peer.Hello{Role: peer.RoleEntry, ID: o.ID, Address: o.Advertise, FailureDomain: o.FailureDomain}
+	revision := func() uint64 { return uint64(e.replica.Revision()) }
+	e.node = peer.NewNode(hello, e, revision, peer.Options{
+		Secret: o.Secret, PingInterval: o.HeartbeatInterval, IdleTimeout: o.SuspectAfter,
+		NoCoalescing: o.NoCoalescing, Dial: o.Dial, TLS: o.TLS,
+	})
 	e.sync = configsync.New(e.node, e.replica, func(err error) {
-		options.Log.Log(events.RevisionBehind).Err(err).Send()
+		o.Log.Log(events.RevisionBehind).Err(err).Send()
 	})
-	e.membership = newMembership(e.node, e.directory, options.Platform, e.options.Advertise, options.FailureDomain, options.Seeds, options.Log)
-	return e, nil
+	e.membership = newMembership(e.node, e.directory, o)
+}
+
+// useStore makes the parts that use the platform's store.
+func (e *Entry) useStore() {
+	client := e.options.Platform
+	e.store = config.NewStore(client, e.replica, time.Now, e.reportStore)
+	e.canceller = operation.NewCanceller(objectstore.NewRecords(client), operation.Options{})
+	e.orderer = newOrderer(e, objectstore.NewLeases(client))
 }
 
 func (e *Entry) listen() error {
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -44,7 +44,6 @@
 	directory *upstream.Directory
 	lister    instanceLister
 	self      string
-	seeds     []string
 	domain    string
 	log       *events.Logger
 
@@ -64,12 +63,12 @@
 	failures int
 }
 
-func newMembership(node *peer.Node, directory *upstream.Directory, lister instanceLister, self, domain string, seeds []string, log *events.Logger) *membership {
+func newMembership(node *peer.Node, directory *upstream.Directory, o Options) *membership {
 	m := &membership{
-		node: node, directory: directory, lister: lister, self: self, seeds: seeds, domain: domain, log: log,
+		node: node, directory: directory, lister: o.Platform, self: o.Advertise, domain: o.FailureDomain, log: o.Log,
 		addresses: make(map[string]*address), leaving: make(map[string]bool), domains: make(map[string]string),
 	}
-	for _, seed := range seeds {
+	for _, seed := range o.Seeds {
 		m.addresses[seed] = &address{seed: true}
 	}
 	return m
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -228,6 +228,10 @@
 	if done.Err != nil {
 		result.Detail = done.Err.Error()
 	}
+	if done.Outcome == request.OutcomeNotRun && errors.Is(done.Err, operation.ErrNotSent) {
+		// The claim is released, so another sidecar may take it.
+		result.Refused = peer.RefusedUnavailable
+	}
 	result.Status, result.ContentType, result.Body = done.Response.Status, done.Response.ContentType, done.Response.Body
 }
 
