sidecar: Need the output log only for outputs that are missing

Cause: reading showed that a stage whose output log had been given up failed a sequence on every resumption, even if its successor needed nothing from the log, for example when only the stage before it was replaced. Change: a resumption from the cursor or later sends nothing and succeeds. Result: the new test fails before the change and passes after it.

--- a/internal/sidecar/stage.go
+++ b/internal/sidecar/stage.go
@@ -198,7 +198,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seq := s.sequences[r.Request]
-	if seq == nil || seq.cursor.Attempt() != r.Attempt {
+	if seq == nil || seq.cursor.Attempt() != r.Attempt || r.From >= seq.cursor.Next() {
 		return
 	}
 	outputs, err := seq.log.From(r.From)
--- a/internal/sidecar/stage_test.go
+++ b/internal/sidecar/stage_test.go
@@ -127,3 +127,25 @@
 		assert.Assert(t, refused)
 	})
 }
+
+// Guards against a sequence that ends because a log was given up of which the
+// next receiver needs nothing.
+func TestResumeNeedsTheLogOnlyForMissingOutputs(t *testing.T) {
+	withStage(t, fakeNext{}, func(t *testing.T, s *Stage, _ *recordingEngine) {
+		s.logs = pipeline.NewLogBudget(0)
+		entry := &fakeEntry{}
+		for attempt := range request.Attempt(2) {
+			s.Open(entry, &peer.OpenSequence{Request: "r", Attempt: attempt + 1, Model: "m", Layers: testLayers, DeadlineMillis: 1000})
+			s.Resume(&peer.ResumeSequence{Request: "r", Attempt: attempt + 1, From: request.Position(attempt)})
+			s.Step(&peer.Step{Request: "r", Attempt: attempt + 1, Position: request.Position(attempt)})
+			synctest.Wait()
+		}
+		for _, f := range entry.frames {
+			_, failed := f.(*peer.SequenceFailed)
+			assert.Assert(t, !failed, "%+v", f)
+		}
+		s.Resume(&peer.ResumeSequence{Request: "r", Attempt: 2, From: 0})
+		last, failed := entry.frames[len(entry.frames)-1].(*peer.SequenceFailed)
+		assert.Assert(t, failed && last.Reason == peer.FailedLog)
+	})
+}
