sidecar: Do not answer a duplicated dispatch of a call

Cause: reading showed that a second dispatch with the same request and attempt was answered as refused. Change: a duplicate gets no answer, also while the sidecar is leaving.

--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -55,11 +55,18 @@
 	}
 }
 
-// Start runs a call in the background and answers on entry's connection.
-func (c *calls) Start(entry *peer.Conn, call *peer.Call) {
+// Start runs a call in the background and answers on the entry's connection.
+func (c *calls) Start(entry peer.Sender, call *peer.Call) {
 	id := callID{call.Request, call.Attempt}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(call.DeadlineMillis)*time.Millisecond)
-	if reason := c.admit(id, cancel); reason != "" {
+	reason, duplicate := c.admit(id, cancel)
+	if duplicate {
+		// The first dispatch answers. A refusal of this one would be taken for
+		// its answer, and the entry could report not-run for a call that runs.
+		cancel()
+		return
+	}
+	if reason != "" {
 		cancel()
 		_ = entry.Send(&peer.CallResult{
 			Request: call.Request, Attempt: call.Attempt, Outcome: request.OutcomeNotRun, Refused: reason,
@@ -76,22 +83,23 @@
 	}()
 }
 
-func (c *calls) admit(id callID, cancel context.CancelFunc) peer.RefusalReason {
+// admit decides whether a call may run, and registers it. It reports a
+// duplicate if the same dispatch is in progress.
+func (c *calls) admit(id callID, cancel context.CancelFunc) (reason peer.RefusalReason, duplicate bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.active[id] != nil:
+		return "", true
 	case c.draining:
-		return peer.RefusedLeaving
+		return peer.RefusedLeaving, false
 	case !c.health.usable():
-		return peer.RefusedUnavailable
+		return peer.RefusedUnavailable, false
 	case len(c.active) >= c.limit:
-		return peer.RefusedQueueFull
-	case c.active[id] != nil:
-		// The dispatch was duplicated on the way; the first one answers.
-		return peer.RefusedStaleAttempt
+		return peer.RefusedQueueFull, false
 	}
 	c.active[id] = cancel
-	return ""
+	return "", false
 }
 
 func (c *calls) remove(id callID) {
