sidecar: Fail the batch of an engine that answers no probes at once

Cause: a frozen engine took 2.3 s to be replaced: 250 ms until its batch counts as slow, 1 s for the probe, and 1 s for look-ups that it could not answer either. Change: after an aborted call the sequences fail without look-ups, and a probe has 500 ms. A shorter probe was ruled out: on a busy machine answers take hundreds of milliseconds. The long runBatch stands in three functions.

--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -12,8 +12,8 @@
 	// probeAgain is the time between two probes of an upstream that failed.
 	probeAgain = 200 * time.Millisecond
 	// healthTimeout bounds one probe. An upstream that is silent for longer
-	// gets no new work.
-	healthTimeout = time.Second
+	// gets no new work, and its calls in progress end.
+	healthTimeout = 500 * time.Millisecond
 )
 
 // healthCheck finds out whether the upstream answers. An upstream that does
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -101,8 +101,10 @@
 	failed   func(*work, peer.FailureReason, string)
 	// engineFailed is called after a call that the engine did not answer.
 	engineFailed func()
-	// abortBatch ends the call in progress. Guarded by mu.
+	// abortBatch ends the call in progress; aborted is set if it was ended.
+	// Guarded by mu.
 	abortBatch context.CancelFunc
+	aborted    bool
 	// fifo serves all work in the order of arrival.
 	fifo bool
 
@@ -269,32 +271,50 @@
 	for _, w := range batch {
 		steps = append(steps, w.steps...)
 	}
+	results, err := s.callEngine(ctx, steps)
+	if err != nil {
+		s.settle(ctx, batch, err)
+		return
+	}
+	for _, w := range batch {
+		s.complete(w, results[:len(w.steps)])
+		results = results[len(w.steps):]
+	}
+}
+
+// callEngine runs steps on the engine. A call that takes unusually long has
+// the engine probed; if it does not answer the probe, abort ends the call.
+func (s *scheduler) callEngine(ctx context.Context, steps []engine.Step) ([]engine.StepResult, error) {
 	start := time.Now()
-	bctx, cancel := context.WithTimeout(ctx, batchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
+	defer cancel()
 	s.setAbort(cancel)
+	defer s.setAbort(nil)
 	usual := time.Duration(s.stepMicros.Load()) * time.Microsecond
 	slow := time.AfterFunc(max(slowBatch, slowFactor*usual), s.engineFailed)
-	response, err := s.engine.Batch(bctx, engine.BatchRequest{Steps: steps})
-	slow.Stop()
-	s.setAbort(nil)
-	cancel()
+	defer slow.Stop()
+	response, err := s.engine.Batch(ctx, engine.BatchRequest{Steps: steps})
 	if err != nil {
 		s.engineFailed()
-	} else {
-		s.observeStep(time.Since(start))
+		return nil, err
 	}
-	// The sequences share one limit, so that a full batch on an engine that has
-	// gone silent does not wait for each of them in turn.
-	pctx, cancelProbe := context.WithTimeout(ctx, probeTimeout)
-	defer cancelProbe()
-	next := 0
+	s.observeStep(time.Since(start))
+	return response.Results, nil
+}
+
+// settle finds out what became of a batch without a response. All sequences
+// share one limit, so that a full batch on an engine that has gone silent does
+// not wait for each of them in turn.
+func (s *scheduler) settle(ctx context.Context, batch []*work, cause error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	aborted := s.wasAborted()
 	for _, w := range batch {
-		if err != nil {
-			s.recoverWork(pctx, w, err)
-			continue
+		if aborted {
+			s.failed(w, peer.FailedEngine, cause.Error())
+		} else {
+			s.recoverWork(ctx, w, cause)
 		}
-		s.complete(w, response.Results[next:next+len(w.steps)])
-		next += len(w.steps)
 	}
 }
 
@@ -302,15 +322,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.abortBatch = cancel
+	if cancel != nil {
+		s.aborted = false
+	}
+}
+
+// wasAborted reports whether the last call was ended by abort.
+func (s *scheduler) wasAborted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.aborted
 }
 
 // abort ends the call in progress, because the engine does not answer probes
-// either. What ran of it is asked for like after a lost response.
+// either. It would not answer a look-up of the sequences, so they fail at once.
 func (s *scheduler) abort() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.abortBatch != nil {
 		s.abortBatch()
+		s.aborted = true
 	}
 }
 
