dev: Serve metrics like the daemon

Cause: in a fresh clone /metrics of nutmegroute-dev answered 404, because the deployment gave its entries no scope. Change: each entry of a deployment has a scope of its own.

--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/engine"
 	"github.com/nutmegroute/nutmegroute/internal/entry"
 	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/metrics"
 	"github.com/nutmegroute/nutmegroute/internal/operation"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/pipeline"
@@ -111,6 +113,7 @@
 	options   Options
 	processes []*Process
 	servers   []*http.Server
+	closers   []io.Closer
 	wg        sync.WaitGroup
 }
 
@@ -251,6 +254,11 @@
 	if n := d.options.Network; n != nil {
 		options.Dial = n.Dialer(options.ID, options.FailureDomain)
 	}
+	scope, handler, closer := metrics.NewScope(map[string]string{
+		"role": "entry", "instance": options.ID, "failure_domain": options.FailureDomain,
+	}, d.options.Log)
+	d.closers = append(d.closers, closer)
+	options.Scope, options.Metrics = scope, handler
 	e, err := entry.New(options)
 	if err != nil {
 		return fmt.Errorf("deployment: %s: %w", options.ID, err)
@@ -319,6 +327,9 @@
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
+	for _, c := range d.closers {
+		_ = c.Close()
+	}
 	for _, n := range d.Engines {
 		n.Server.Close()
 	}
--- a/internal/standin/deployment/deployment_test.go
+++ b/internal/standin/deployment/deployment_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -123,6 +124,12 @@
 		assert.Assert(t, a.done)
 		assert.Equal(t, a.text, reference(prompt(i)))
 	}
+	response, err := http.Get("http://" + d.Entries[0].CallerAddress() + "/metrics")
+	assert.NilError(t, err)
+	page, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Assert(t, strings.Contains(string(page), "nutmegroute_first_token_seconds"), "%s", page)
 	for i, e := range d.Engines {
 		if i != 2 {
 			runs := e.Runs()
