Prove races of operators through two entries and count store calls

Cause: concurrent changes and lost answers to changes were only shown below the operators' API, and the store calls of a purchase were stated but not measured. Change: six operators race on one profile through two entries, with the answer to every other accepting write lost; the test of released claims bounds the writes for each purchase.

--- /dev/null
+++ b/internal/standin/deployment/config_test.go
@@ -0,0 +1,89 @@
+package deployment
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/adminapi"
+	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/entry"
+	"github.com/nutmegroute/nutmegroute/internal/operation"
+	"github.com/nutmegroute/nutmegroute/internal/profile"
+)
+
+// Guards against two operators that both have a change of the same version
+// accepted, a conflict that does not name the other change, a change that is
+// lost or doubled when the answer to its write is lost, and an audit trail that
+// lacks one.
+func TestOperatorsRaceThroughTwoEntries(t *testing.T) {
+	const operators, rounds = 6, 8
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	options := entry.Options{Operators: make(map[string]string)}
+	for i := range operators {
+		options.Operators[fmt.Sprintf("op%d", i)] = operation.Digest(fmt.Appendf(nil, "key%d", i))
+	}
+	d, err := Start(Options{CallerListen: []string{loopback, loopback}, Domains: []string{"a"}, Entry: options})
+	assert.NilError(t, err)
+	t.Cleanup(d.Close)
+
+	var base config.Revision
+	accepted := make(map[string]string)
+	for round := range rounds {
+		faults := d.Platform.Faults()
+		faults.LoseWrites, faults.LosePrefix = round%2, "config/changes/"
+		d.Platform.SetFaults(faults)
+		var wg sync.WaitGroup
+		changes := make([]config.Change, operators)
+		errs := make([]error, operators)
+		for i := range operators {
+			wg.Go(func() {
+				client := adminapi.NewClient("http://"+d.Entries[i%2].AdminAddress(), fmt.Sprintf("key%d", i))
+				defer client.Close()
+				value, err := json.Marshal(profile.Profile{Name: "p", Model: "m", MaxTokens: 1 + round*operators + i})
+				assert.Check(t, err)
+				changes[i], errs[i] = client.Propose(ctx, config.Proposal{
+					ID: uuid.NewString(), Kind: config.KindProfile, Name: "p", Base: base, Value: value,
+				})
+			})
+		}
+		wg.Wait()
+		winner := -1
+		for i, err := range errs {
+			if err == nil {
+				assert.Equal(t, winner, -1, "two changes of one version were accepted")
+				winner = i
+			}
+		}
+		assert.Assert(t, winner >= 0, "%v", errs)
+		for i, err := range errs {
+			var conflict *adminapi.Error
+			if i != winner {
+				assert.Assert(t, errors.As(err, &conflict) && errors.Is(err, adminapi.ErrConflict), "%v", err)
+				assert.Equal(t, conflict.ChangeID, changes[winner].ID)
+				assert.Equal(t, conflict.Author, fmt.Sprintf("op%d", winner))
+			}
+		}
+		base = changes[winner].Revision
+		accepted[changes[winner].ID] = changes[winner].Author
+	}
+	client := adminapi.NewClient("http://"+d.Entries[1].AdminAddress(), "key0")
+	defer client.Close()
+	trail, err := client.Audit(ctx, 0, 100)
+	assert.NilError(t, err)
+	assert.Equal(t, len(trail), rounds)
+	for i, c := range trail {
+		assert.Equal(t, accepted[c.ID], c.Author)
+		if i > 0 {
+			assert.Equal(t, string(c.Before), string(trail[i-1].After))
+		}
+	}
+}
--- a/internal/standin/deployment/service_test.go
+++ b/internal/standin/deployment/service_test.go
@@ -54,6 +54,7 @@
 	assert.NilError(t, d.WaitReady(ctx))
 	assert.NilError(t, unused.Close())
 
+	before := d.Platform.Counters()
 	for _, idempotencyKey := range []string{"1", "2", "3", "4", "5", "6"} {
 		r, err := http.NewRequestWithContext(ctx, http.MethodPost,
 			"http://"+d.Entries[0].CallerAddress()+"/v1/services/accounts/purchase", strings.NewReader("{}"))
@@ -67,4 +68,9 @@
 		assert.Equal(t, response.Header.Get("Nutmegroute-Outcome"), "completed", "%s", body)
 	}
 	assert.Equal(t, len(server.Executions()), 6)
+	// A purchase costs one write for the claim and one for the outcome; a claim
+	// that is released and taken again costs two more. The operations page and
+	// the capacity page rely on it.
+	writes := d.Platform.Counters().Writes - before.Writes
+	assert.Assert(t, writes >= 2*6 && writes <= 4*6, "%d writes for 6 purchases", writes)
 }
