--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,7 +54,7 @@
 		if u == nil {
 			return planner.Decision{}, planner.ErrNoChain
 		}
-		chain.Stages = append(chain.Stages, stageOf(u))
+		chain.Stages = append(chain.Stages, newStage(u))
 		next = u.Descriptor.Layers.To
 		if next == u.Descriptor.ModelLayers {
 			chain.Layers = next
@@ -69,13 +70,13 @@
 	if u == nil {
 		return nil, planner.ErrNoChain
 	}
-	return []planner.Stage{stageOf(u)}, nil
+	return []planner.Stage{newStage(u)}, nil
 }
 
 func (c *roundRobin) next(r planner.Request, first int, fits func(pipeline.LayerRange) bool) *upstream.Upstream {
 	var usable []*upstream.Upstream
 	for _, u := range c.directory.All() {
-		if u.Descriptor.Model == r.Model && u.Status().Usable() && fits(u.Descriptor.Layers) && !excludes(r.Exclude, u.ID) {
+		if u.Descriptor.Model == r.Model && u.Status().Usable() && fits(u.Descriptor.Layers) && !slices.Contains(r.Exclude.Upstreams, u.ID) {
 			usable = append(usable, u)
 		}
 	}
@@ -86,16 +87,7 @@
 	return usable[turn.(*atomic.Uint64).Add(1)%uint64(len(usable))]
 }
 
-func excludes(e planner.Exclude, id upstream.InstanceID) bool {
-	for _, x := range e.Upstreams {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
-func stageOf(u *upstream.Upstream) planner.Stage {
+func newStage(u *upstream.Upstream) planner.Stage {
 	return planner.Stage{
 		Upstream: u, ID: u.ID, Address: u.Address, Domain: u.Domain, Layers: u.Descriptor.Layers,
 	}
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -103,10 +103,10 @@
 
 // add counts one report. The rate is what the upstream has been seen to serve,
 // or what full batches would give if it is higher, because an upstream that is
-// not busy serves less than it could. Steps of running sequences go before
-// those that start one, so waiting work gets only the part of the rate that
-// starts sequences; without this, admission control counted on a multiple of
-// the real rate and let the time to the first token grow past its target.
+// not busy serves less than it could. Most of the rate goes to steps of running
+// sequences, so waiting work gets only the part that starts sequences; without
+// this, admission control counted on a multiple of the real rate and let the
+// time to the first token grow past its target.
 func (s *stageLoad) add(r loadReport) {
 	served := 0.0
 	for _, t := range r.teams {
--- a/internal/entry/schedule_test.go
+++ b/internal/entry/schedule_test.go
@@ -126,13 +126,13 @@
 func (c simChooser) cover(random *rand.Rand, r planner.Request, layers pipeline.LayerRange) ([]planner.Stage, error) {
 	var found []*host
 	for _, h := range c.hosts {
-		if c.entry.Connection(h.id) != nil && h.layers.From == layers.From && h.layers.To <= layers.To && !excludes(r.Exclude, upstream.InstanceID(h.id)) {
+		if c.entry.Connection(h.id) != nil && h.layers.From == layers.From && h.layers.To <= layers.To && !slices.Contains(r.Exclude.Upstreams, upstream.InstanceID(h.id)) {
 			found = append(found, h)
 		}
 	}
 	for _, i := range random.Perm(len(found)) {
 		h := found[i]
-		stages := []planner.Stage{stageOf(h.upstream)}
+		stages := []planner.Stage{newStage(h.upstream)}
 		if h.layers.To == layers.To {
 			return stages, nil
 		}
--- a/internal/entry/sequence_test.go
+++ b/internal/entry/sequence_test.go
@@ -92,7 +92,7 @@
 	for id, layers := range map[string]pipeline.LayerRange{"a": {From: 0, To: 1}, "b1": {From: 1, To: 2}, "b2": {From: 1, To: 2}} {
 		u, _ := directory.Hello(time.Now(), upstream.Hello{ID: upstream.InstanceID(id), Process: id, Address: id,
 			Descriptor: upstream.Descriptor{Kind: upstream.KindEngine, Model: "m", ModelLayers: 2, Layers: layers}})
-		s.stages[id] = &scriptedStage{script: s, stage: stageOf(u), answer: accept}
+		s.stages[id] = &scriptedStage{script: s, stage: newStage(u), answer: accept}
 	}
 	s.sequence = newTestSequence(s, s, "r", time.Now().Add(time.Hour), directory, 1)
 	return s
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,7 +83,7 @@
 // engineSequenceID names a sequence at the engine. The attempt is part of it,
 // so that a stage that is opened anew never meets old KV state.
 func engineSequenceID(id request.ID, attempt request.Attempt) string {
-	return string(id) + "/" + attemptString(attempt)
+	return fmt.Sprintf("%s/%d", id, attempt)
 }
 
 // schedulerLimits bound a scheduler's queue.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -8,7 +8,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -20,7 +19,6 @@
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/process"
-	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -38,8 +36,6 @@
 	recordTimeout = 30 * time.Second
 )
 
-func attemptString(a request.Attempt) string { return strconv.FormatUint(uint64(a), 10) }
-
 // Sidecar is one sidecar process.
 type Sidecar struct {
 	options  Options
--- a/internal/team/fairqueue.go
+++ b/internal/team/fairqueue.go
@@ -85,7 +85,7 @@
 	Priority int
 	// Continues is true for a step of a running sequence. Within a priority it
 	// goes before items that start a sequence, because the time between tokens
-	// is the tighter target.
+	// is the tighter target, unless Due says otherwise.
 	Continues bool
 	// Due is when the item should be served to meet its target. If both are
 	// set, a starting item that is due earlier goes before a continuing one, so
