gateway: Serve clients on the users' platform

Cause: the users run on a platform of their own, with its store, servers and settings; nutmegroute spoke only its own interface.

Change: add the gateway, which forwards opaque HTTP requests over chains of instances, and its rules packages routing, fleet, chain and placement; add backend (connections to instances), feed (list and watch) and the adapter platform/. Entries and sidecars stay as they are.

No tests of the new packages yet.

--- /dev/null
+++ b/internal/chain/ledger.go
@@ -0,0 +1,267 @@
+package chain
+
+import (
+	"sync"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/routing"
+)
+
+// memoryShare is the part of an instance's KV cache that is given out; the
+// rest absorbs responses that grow longer than expected.
+const memoryShare = 0.9
+
+// account is the work of one instance as this process knows it.
+type account struct {
+	tokenLayers float64
+	requests    int
+	// slowness is the factor by which the instance is slower than its type.
+	slowness float64
+	// avoidUntil is the time until which the instance gets no new work.
+	avoidUntil time.Time
+	failures   int
+}
+
+// Ledger keeps account of the work that this process has given to instances.
+// It is safe for concurrent use.
+type Ledger struct {
+	mu       sync.Mutex
+	accounts map[string]*account
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{accounts: make(map[string]*account)}
+}
+
+// Demand describes a request that needs instances.
+type Demand struct {
+	// Tokens is the expected number of prompt and output tokens, 0 for plain
+	// services.
+	Tokens int
+	// Domain is preferred.
+	Domain string
+	// Avoid lists instances that must not be used.
+	Avoid []string
+}
+
+// Grant is a path with the work that it was charged for.
+type Grant struct {
+	Path   Path
+	tokens float64
+}
+
+func (l *Ledger) account(id string) account {
+	if a := l.accounts[id]; a != nil {
+		return *a
+	}
+	return account{}
+}
+
+func (l *Ledger) entry(id string) *account {
+	a := l.accounts[id]
+	if a == nil {
+		a = &account{}
+		l.accounts[id] = a
+	}
+	return a
+}
+
+func (l *Ledger) avoided(id string, now time.Time) bool {
+	return now.Before(l.account(id).avoidUntil)
+}
+
+// Choose reserves the fastest path for a demand. It returns ErrNoInstance if
+// no set of instances could serve it now, and ErrFull if they have no room.
+func (l *Ledger) Choose(view *fleet.View, s *routing.Service, d Demand, now time.Time) (Grant, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.Model == nil {
+		return l.choosePlain(view, s, d, now)
+	}
+	return l.choosePath(view, s, d, now)
+}
+
+func (l *Ledger) choosePath(view *fleet.View, s *routing.Service, d Demand, now time.Time) (Grant, error) {
+	var bestPath Path
+	best, exists := never, false
+	for _, domain := range domains(view, s.Name) {
+		list := without(l.candidates(view, s, domain, now), d.Avoid)
+		path, cost, ok := shortest(list, s.Model.Layers, float64(d.Tokens))
+		if !ok {
+			_, _, possible := shortest(list, s.Model.Layers, 0)
+			exists = exists || possible
+			continue
+		}
+		exists = true
+		if domain != d.Domain {
+			cost += crossDomain
+		}
+		if cost < best {
+			bestPath, best = path, cost
+		}
+	}
+	switch {
+	case bestPath != nil:
+		return l.charge(bestPath, float64(d.Tokens)), nil
+	case exists:
+		return Grant{}, ErrFull
+	}
+	return Grant{}, ErrNoInstance
+}
+
+func without(list []candidate, avoid []string) []candidate {
+	if len(avoid) == 0 {
+		return list
+	}
+	kept := list[:0]
+	for _, c := range list {
+		if !contains(avoid, c.ID) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+func contains(list []string, id string) bool {
+	for _, s := range list {
+		if s == id {
+			return true
+		}
+	}
+	return false
+}
+
+// domains returns the failure domains of a service's instances.
+func domains(view *fleet.View, service string) []string {
+	var list []string
+	for _, in := range view.Instances {
+		if in.Service == service && !contains(list, in.Domain) {
+			list = append(list, in.Domain)
+		}
+	}
+	return list
+}
+
+func (l *Ledger) charge(p Path, tokens float64) Grant {
+	for _, part := range p {
+		a := l.entry(part.Instance)
+		a.tokenLayers += tokens * float64(part.To-part.From)
+		a.requests++
+	}
+	return Grant{p, tokens}
+}
+
+// Release returns what Choose reserved.
+func (l *Ledger) Release(g Grant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, part := range g.Path {
+		a := l.entry(part.Instance)
+		a.tokenLayers -= g.tokens * float64(part.To-part.From)
+		a.requests--
+	}
+}
+
+// Move replaces the path of a grant that goes on, without checking for room.
+func (l *Ledger) Move(g Grant, p Path) Grant {
+	l.Release(g)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.charge(p, g.tokens)
+}
+
+// foreignDomainLoad is how many requests of difference make an instance of
+// another failure domain preferable.
+const foreignDomainLoad = 4
+
+// choosePlain takes the instance with the fewest requests.
+func (l *Ledger) choosePlain(view *fleet.View, s *routing.Service, d Demand, now time.Time) (Grant, error) {
+	var best, fallback *fleet.Instance
+	bestLoad := 0
+	full := false
+	for _, in := range view.Instances {
+		if in.Service != s.Name || in.Draining || contains(d.Avoid, in.ID) {
+			continue
+		}
+		a := l.account(in.ID)
+		load := a.requests
+		if in.Domain != d.Domain {
+			load += foreignDomainLoad
+		}
+		if l.avoided(in.ID, now) {
+			// Avoided instances serve only if nothing else does, so that
+			// avoidance never empties a service.
+			if fallback == nil || in.ID < fallback.ID {
+				fallback = &in
+			}
+			continue
+		}
+		if a.requests >= in.Slots && in.Slots > 0 {
+			full = true
+			continue
+		}
+		if best == nil || load < bestLoad || load == bestLoad && in.ID < best.ID {
+			best, bestLoad = &in, load
+		}
+	}
+	if best == nil && !full {
+		best = fallback
+	}
+	switch {
+	case best != nil:
+		return l.charge(Path{{Instance: best.ID, Address: best.Address}}, 0), nil
+	case full:
+		return Grant{}, ErrFull
+	}
+	return Grant{}, ErrNoInstance
+}
+
+const (
+	// avoidBase is how long an instance is avoided after a failure; it doubles
+	// with each further failure up to avoidMax.
+	avoidBase = 500 * time.Millisecond
+	avoidMax  = 4 * time.Second
+)
+
+// Failed records that an instance did not answer, broke off or is known to be
+// at fault, and keeps new work away from it for a while.
+func (l *Ledger) Failed(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	if now.Before(a.avoidUntil) {
+		return
+	}
+	a.avoidUntil = now.Add(min(avoidBase<<min(a.failures, 8), avoidMax))
+	a.failures++
+}
+
+// Succeeded records a complete answer.
+func (l *Ledger) Succeeded(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	a.failures = 0
+	a.avoidUntil = time.Time{}
+}
+
+// Forget drops the accounts of instances that are not in the view and have no
+// work.
+func (l *Ledger) Forget(view *fleet.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, a := range l.accounts {
+		if _, known := view.Instances[id]; !known && a.requests == 0 {
+			delete(l.accounts, id)
+		}
+	}
+}
+
+// Avoided reports whether the instance gets no new work.
+func (l *Ledger) Avoided(id string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.avoided(id, now)
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -46,6 +46,8 @@
 	{1500, "Limits and fairness"},
 	{1600, "Orders"},
 	{1700, "Callers' API"},
+	{1800, "Gateway"},
+	{1900, "Placement of layers"},
 }
 
 const noAction = "None."
--- /dev/null
+++ b/internal/events/gateway.go
@@ -0,0 +1,58 @@
+package events
+
+import "github.com/rs/zerolog"
+
+// Events of the gateway, 1800 to 1899.
+var (
+	RequestDone = define(1800, "request-done", zerolog.InfoLevel,
+		"A request ended with the response of an instance.", noAction)
+	OwnAnswer = define(1801, "own-answer", zerolog.WarnLevel,
+		"The gateway answered a request itself: it was refused, denied or failed.",
+		"Read status and reason; look for lines of the same request and of the instances in its path.")
+	RequestRepeated = define(1802, "request-repeated", zerolog.WarnLevel,
+		"An instance failed, refused or did not answer; the request goes to another one.",
+		"Look for the instance in other lines; replace it if it fails often.")
+	StreamStalled = define(1803, "stream-stalled", zerolog.WarnLevel,
+		"A stream was silent and the instance that it waits for is known; the stream moves.",
+		"Check the instance named as fault.")
+	StreamCut = define(1804, "stream-cut", zerolog.ErrorLevel,
+		"A stream ended before it was complete; the client's connection was closed.",
+		"Read the reason; look for repeated lines of the same request.")
+	ClientGone = define(1805, "client-gone", zerolog.InfoLevel,
+		"The client left before its request was answered; the work was cancelled.", noAction)
+	StoreLost = define(1810, "store-lost", zerolog.WarnLevel,
+		"The platform's store does not answer; the last known state goes on serving.",
+		"Check the store and the path to it.")
+	StoreRegained = define(1811, "store-regained", zerolog.InfoLevel,
+		"The platform's store answers again.", noAction)
+	TableInstalled = define(1812, "configuration-installed", zerolog.InfoLevel,
+		"A newer configuration is in force.", noAction)
+	TableRejected = define(1813, "configuration-rejected", zerolog.ErrorLevel,
+		"A configuration contradicts itself and was not installed.", "Correct the configuration.")
+	InstanceChanged = define(1814, "instance-changed", zerolog.InfoLevel,
+		"An upstream instance appeared, changed its state or layers, or is gone.", noAction)
+	GatewayReady = define(1815, "gateway-ready", zerolog.InfoLevel,
+		"Configuration and instances are known; the gateway takes clients.", noAction)
+	ListenerFault = define(1816, "listener-fault", zerolog.WarnLevel,
+		"A library reports a fault of a client's connection.", noAction)
+	SettingsReloaded = define(1817, "settings-reloaded", zerolog.InfoLevel,
+		"SIGHUP: the settings file was read again.", noAction)
+	SettingsRejected = define(1818, "settings-rejected", zerolog.ErrorLevel,
+		"SIGHUP: the settings file can't be read; the former settings stay in force.", "Correct the settings file.")
+)
+
+// Events of the placement of layers, 1900 to 1999.
+var (
+	LayersOrdered = define(1900, "layers-ordered", zerolog.InfoLevel,
+		"An instance was ordered to hold a range of layers.", noAction)
+	LayersOrderFailed = define(1901, "layers-order-failed", zerolog.WarnLevel,
+		"An order to hold layers was refused or not answered; it may still be carried out.",
+		"None; the order is repeated if it is still needed.")
+	LayersMissing = define(1902, "layers-missing", zerolog.ErrorLevel,
+		"No instance of a failure domain holds some layers and none can take them.",
+		"Add instances to the failure domain.")
+	PlacerElected = define(1903, "placer-elected", zerolog.InfoLevel,
+		"This process holds the lease and places layers.", noAction)
+	PlacerDeposed = define(1904, "placer-deposed", zerolog.InfoLevel,
+		"This process no longer holds the lease of the placement.", noAction)
+)
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,166 @@
+// Package fleet holds what is known of the upstream instances: where they
+// are, whether they accept work and which layers of a model they hold. It
+// performs no I/O.
+package fleet
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// LayerRange is the layers From to To, To exclusive.
+type LayerRange struct{ From, To int }
+
+// Len returns the number of layers.
+func (r LayerRange) Len() int { return max(r.To-r.From, 0) }
+
+// Contains reports whether layer is in the range.
+func (r LayerRange) Contains(layer int) bool { return r.From <= layer && layer < r.To }
+
+// Instance is one upstream as it describes itself.
+type Instance struct {
+	ID      string
+	Service string
+	// Address is IP:PORT.
+	Address string
+	// Domain is the failure domain.
+	Domain string
+	// Draining instances accept no new work.
+	Draining bool
+	// Slots is the number of requests that run at the same time.
+	Slots int
+	// Accelerator names the type; it is empty for plain services.
+	Accelerator string
+	// Layers are those that the instance holds.
+	Layers LayerRange
+	// StartedMS is the time of its start in Unix milliseconds; it tells a
+	// restart under the same id.
+	StartedMS int64
+}
+
+// View is an immutable picture of all instances.
+type View struct {
+	// Instances by id. The map must not be changed.
+	Instances map[string]Instance
+	// Changed is closed when a newer view exists.
+	Changed <-chan struct{}
+
+	changed chan struct{}
+}
+
+// lapseGrace is how long an instance that is missing after an outage of the
+// store may take to register again before it counts as gone.
+const lapseGrace = 2 * time.Second
+
+// Directory keeps the newest view. It is safe for concurrent use.
+type Directory struct {
+	mu       sync.Mutex
+	view     atomic.Pointer[View]
+	revs     map[string]uint64
+	lapsed   map[string]time.Time
+	regained time.Time
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	d := &Directory{revs: make(map[string]uint64), lapsed: make(map[string]time.Time)}
+	d.view.Store(newView(map[string]Instance{}))
+	return d
+}
+
+func newView(instances map[string]Instance) *View {
+	changed := make(chan struct{})
+	return &View{Instances: instances, Changed: changed, changed: changed}
+}
+
+// View returns the newest view.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Record is one instance with the store's revision of its entry.
+type Record struct {
+	ID       string
+	Revision uint64
+	// Instance is nil if the entry was removed or can't be used.
+	Instance *Instance
+}
+
+// Replace installs a complete list. After an outage of the store, instances
+// that are missing in it stay for lapseGrace.
+func (d *Directory) Replace(records []Record, afterOutage bool, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if afterOutage {
+		d.regained = now
+	}
+	listed := make(map[string]bool, len(records))
+	next := maps.Clone(d.view.Load().Instances)
+	for _, r := range records {
+		listed[r.ID] = true
+		d.apply(next, r, now)
+	}
+	for id := range next {
+		if !listed[id] {
+			d.apply(next, Record{ID: id, Revision: d.revs[id] + 1}, now)
+		}
+	}
+	d.publish(next)
+}
+
+// Update installs changes of single instances.
+func (d *Directory) Update(records []Record, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := maps.Clone(d.view.Load().Instances)
+	for _, r := range records {
+		d.apply(next, r, now)
+	}
+	d.publish(next)
+}
+
+// Expire removes the instances whose grace after an outage has passed.
+func (d *Directory) Expire(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := maps.Clone(d.view.Load().Instances)
+	removed := false
+	for id, until := range d.lapsed {
+		if !now.Before(until) {
+			delete(next, id)
+			delete(d.lapsed, id)
+			removed = true
+		}
+	}
+	if removed {
+		d.publish(next)
+	}
+}
+
+// apply changes next by one record. A record older than what is known is
+// dropped, since a list may be read from a lagging replica of the store.
+func (d *Directory) apply(next map[string]Instance, r Record, now time.Time) {
+	if r.Revision < d.revs[r.ID] {
+		return
+	}
+	d.revs[r.ID] = r.Revision
+	if r.Instance != nil {
+		next[r.ID] = *r.Instance
+		delete(d.lapsed, r.ID)
+		return
+	}
+	if known, ok := next[r.ID]; ok && !known.Draining && now.Sub(d.regained) < lapseGrace {
+		if _, waiting := d.lapsed[r.ID]; !waiting {
+			d.lapsed[r.ID] = now.Add(lapseGrace)
+		}
+		return
+	}
+	delete(next, r.ID)
+	delete(d.lapsed, r.ID)
+}
+
+func (d *Directory) publish(next map[string]Instance) {
+	old := d.view.Load()
+	d.view.Store(newView(next))
+	close(old.changed)
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/routing"
+)
+
+// call is one request of a client on its way.
+type call struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	in      Inbound
+	version int64
+	route   *routing.Route
+	service *routing.Service
+	team    string
+	urgency int
+	body    []byte
+	started time.Time
+	// deadline is the time of the final answer.
+	deadline time.Time
+	// avoid lists the instances that failed or refused this request.
+	avoid []string
+	// runs counts the instances that may have run the request, sends those
+	// that it was sent to.
+	runs, sends int
+	// answered is the status sent to the client, 0 before.
+	answered int
+	// lastPath and waited explain the outcome in the log.
+	lastPath chain.Path
+	waited   time.Duration
+}
+
+const (
+	// maxSends bounds the instances that one request is tried on, with those
+	// that refuse it.
+	maxSends = 4
+	// bodyTimeout bounds the reading of a client's body.
+	bodyTimeout = 10 * time.Second
+	// defaultMaxBody is the limit of a body before a configuration names one.
+	defaultMaxBody = 4 << 20
+)
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{g: g, w: w, r: r, in: g.protocol.Inbound(r.Header), started: time.Now()}
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	defer c.finish()
+	if !c.resolve() || !c.readBody() {
+		return
+	}
+	g.budget.Request(c.service.Name, c.started)
+	if c.route.Kind == routing.Streaming {
+		c.serveStream()
+		return
+	}
+	c.servePlain()
+}
+
+// resolve finds route, service and team, or answers the request.
+func (c *call) resolve() bool {
+	table := c.g.current.Get()
+	if table == nil {
+		c.refuse("no configuration", time.Second)
+		return false
+	}
+	c.version = table.Version()
+	if c.in.ID == "" || len(c.r.RequestURI) == 0 || c.r.RequestURI[0] != '/' {
+		c.fail(http.StatusBadRequest, "malformed request")
+		return false
+	}
+	route, err := table.Match(c.r.Host, rawPath(c.r.RequestURI))
+	if err != nil {
+		c.deny(http.StatusNotFound, err)
+		return false
+	}
+	c.route, c.urgency = route, route.Priority
+	if table.HasTeams() {
+		team, err := table.Team(c.in.Credential)
+		switch {
+		case err == nil:
+			c.team = team.Name
+			if team.Priority != nil {
+				c.urgency = *team.Priority
+			}
+		case !route.Public:
+			c.deny(http.StatusUnauthorized, err)
+			return false
+		}
+	}
+	c.service = table.Services()[route.Pick(rand.Float64())]
+	patience := route.Timeout
+	if c.in.Patience > 0 && (patience <= 0 || c.in.Patience < patience) {
+		patience = c.in.Patience
+	}
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	c.deadline = c.started.Add(patience)
+	return true
+}
+
+// defaultPatience bounds requests whose route and client name no limit.
+const defaultPatience = 30 * time.Second
+
+// rawPath returns the path of a request target as it was sent.
+func rawPath(target string) string {
+	for i := range len(target) {
+		if target[i] == '?' {
+			return target[:i]
+		}
+	}
+	return target
+}
+
+// deny refuses a request that the configuration doesn't allow. While the
+// configuration may be outdated, the answer is that the request did not run.
+func (c *call) deny(status int, reason error) {
+	if c.g.stale() {
+		c.refuse("configuration may be outdated: "+reason.Error(), time.Second)
+		return
+	}
+	c.fail(status, reason.Error())
+}
+
+func (c *call) readBody() bool {
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return true
+	}
+	limit := int64(defaultMaxBody)
+	if t := c.g.current.Get(); t != nil && t.Limits().MaxBodyBytes > 0 {
+		limit = t.Limits().MaxBodyBytes
+	}
+	if c.r.ContentLength > limit {
+		c.fail(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	}
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		c.fail(http.StatusRequestEntityTooLarge, "body too large")
+	case err != nil:
+		c.fail(http.StatusRequestTimeout, "body not received: "+err.Error())
+	default:
+		c.body = body
+		return true
+	}
+	return false
+}
+
+// refuse answers that the request did not run and when to come back.
+func (c *call) refuse(reason string, after time.Duration) {
+	c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	c.fail(http.StatusServiceUnavailable, reason)
+}
+
+// fail answers with a status of the gateway's own.
+func (c *call) fail(status int, reason string) {
+	if c.answered != 0 {
+		return
+	}
+	c.answered = status
+	c.g.protocol.Own(c.w.Header(), c.in.ID)
+	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.WriteHeader(status)
+	_, _ = io.WriteString(c.w, reason+"\n")
+	c.line(events.OwnAnswer).Int("status", status).Str("reason", reason).Send()
+	c.g.metrics.refused(status)
+}
+
+// outbound returns the request for the first instance of a path.
+func (c *call) outbound(p chain.Path, lastEvent string) Outbound {
+	o := Outbound{
+		Instance:  p.First().Instance,
+		Team:      c.team,
+		Remaining: time.Until(c.deadline),
+		Urgency:   c.urgency,
+		LastEvent: lastEvent,
+	}
+	if c.service.Model != nil {
+		o.Path = p
+	}
+	return o
+}
+
+// ended reports whether the client has left.
+func (c *call) ended() bool { return c.r.Context().Err() != nil }
+
+// expired reports whether the time of the final answer has come.
+func (c *call) expired() bool { return !time.Now().Before(c.deadline) }
+
+// mayRepeat reports whether a request that may have run may be sent again, and
+// takes it from the retry budget.
+func (c *call) mayRepeat() bool {
+	return c.route.Repeatable() && c.runs < c.route.MaxAttempts && c.mayResend()
+}
+
+// mayResend reports whether a request that surely has not run may be sent
+// again, and takes it from the retry budget.
+func (c *call) mayResend() bool {
+	return c.sends < maxSends && !c.ended() && !c.expired() && c.g.budget.Repeat(c.service.Name, time.Now())
+}
+
+// context returns the context of the exchange with instances.
+func (c *call) context() context.Context { return c.r.Context() }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegroute/nutmegroute/internal/backend"
+	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/feed"
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/metrics"
+	"github.com/nutmegroute/nutmegroute/internal/process"
+	"github.com/nutmegroute/nutmegroute/internal/routing"
+)
+
+// Platform is what a gateway needs from the platform it runs on.
+type Platform struct {
+	Protocol       Protocol
+	Engines        Engines
+	Configurations feed.Source[routing.Configuration]
+	Instances      feed.Source[fleet.Record]
+	Lease          Lease
+}
+
+// Gateway is the process that serves clients.
+type Gateway struct {
+	settings  Settings
+	protocol  Protocol
+	engines   Engines
+	platform  Platform
+	log       *events.Logger
+	metrics   *gatewayMetrics
+	current   routing.Current
+	directory *fleet.Directory
+	ledger    *chain.Ledger
+	pool      *backend.Pool
+	admission *admission
+	budget    *repeatBudget
+	faults    *faultFinder
+
+	inFlight atomic.Int64
+	draining atomic.Bool
+
+	mu sync.Mutex
+	// configSeen is when the store last confirmed the configuration.
+	configSeen time.Time
+	// members is when an instance was last added or removed.
+	members    time.Time
+	listed     bool
+	configured bool
+}
+
+// New returns a gateway.
+func New(s Settings, p Platform, log *events.Logger, scope tally.Scope) *Gateway {
+	directory, ledger := fleet.NewDirectory(), chain.NewLedger()
+	return &Gateway{
+		settings:  s,
+		protocol:  p.Protocol,
+		engines:   p.Engines,
+		platform:  p,
+		log:       log,
+		metrics:   newMetrics(scope, metrics.LatencyBuckets),
+		directory: directory,
+		ledger:    ledger,
+		pool:      backend.NewPool(),
+		admission: newAdmission(ledger, directory),
+		budget:    newRepeatBudget(s.RetryRatio, s.RetryWindow, s.RetryReserve, s.ExpectedPeers),
+		faults:    newFaultFinder(p.Engines, ledger),
+	}
+}
+
+const (
+	// staleAfter is the age from which the configuration may be outdated.
+	staleAfter = 4 * time.Second
+	// sweepInterval is the pause between two clean-ups.
+	sweepInterval = 500 * time.Millisecond
+	// headerTimeout bounds the reading of a client's headers, idleTimeout the
+	// time between two requests of a client.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes bounds a client's headers.
+	maxHeaderBytes = 16 << 10
+	// drainDelay is how long clients may come after the gateway has become
+	// unready: the load balancer takes it out after two failed questions.
+	drainDelay = 3 * time.Second
+	// drainMargin is the part of the grace time that is left for the exit.
+	drainMargin = 400 * time.Millisecond
+)
+
+// stale reports whether the configuration may be outdated.
+func (g *Gateway) stale() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Since(g.configSeen) > staleAfter
+}
+
+// membersChanged returns when an instance was last added or removed.
+func (g *Gateway) membersChanged() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members
+}
+
+// ready reports whether the gateway takes clients.
+func (g *Gateway) ready() bool {
+	if g.draining.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listed && g.configured
+}
+
+// Run serves until ctx ends and then finishes what is in progress.
+func (g *Gateway) Run(ctx context.Context, metricsPage http.Handler) error {
+	front, err := net.Listen("tcp", g.settings.ClientAddress)
+	if err != nil {
+		return eris.Wrap(err, "gateway: listen for clients")
+	}
+	readiness, err := net.Listen("tcp", g.settings.ReadyAddress)
+	if err != nil {
+		return eris.Wrap(err, "gateway: listen for readiness")
+	}
+	// Background work goes on while requests are finished.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { feed.New(g.platform.Configurations, &tableHandler{g}).Run(background); return nil })
+	group.Go(func() error { feed.New(g.platform.Instances, &instanceHandler{g: g}).Run(background); return nil })
+	group.Go(func() error { g.admission.run(background); return nil })
+	group.Go(func() error { g.sweep(background); return nil })
+	group.Go(func() error { newPlacer(g, g.platform.Lease).run(ctx); return nil })
+	server := &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          g.log.Std(events.ListenerFault),
+	}
+	g.serveReadiness(&group, readiness)
+	g.serveMetrics(&group, metricsPage)
+	group.Go(func() error { return process.Serve(server, front, nil) })
+	<-ctx.Done()
+	err = g.drain(server)
+	stop()
+	_ = readiness.Close()
+	return err
+}
+
+// serveReadiness answers the load balancer.
+func (g *Gateway) serveReadiness(group *errgroup.Group, l net.Listener) {
+	server := process.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	group.Go(func() error {
+		err := process.Serve(server, l, nil)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		return err
+	})
+}
+
+// serveMetrics serves /metrics if a port is set.
+func (g *Gateway) serveMetrics(group *errgroup.Group, page http.Handler) {
+	if g.settings.MetricsPort == 0 || page == nil {
+		return
+	}
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.ParseIP(g.settings.Address), Port: g.settings.MetricsPort})
+	if err != nil {
+		g.log.Log(events.MetricsRejected).Err(err).Send()
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", page)
+	group.Go(func() error { return process.Serve(process.NewServer(mux), l, nil) })
+}
+
+// drain makes the gateway unready, waits until clients come elsewhere, and
+// finishes the requests in progress.
+func (g *Gateway) drain(server *http.Server) error {
+	g.draining.Store(true)
+	limit := g.settings.DrainTimeout - drainMargin
+	ctx, cancel := context.WithTimeout(context.Background(), max(limit, 0))
+	defer cancel()
+	timer := time.NewTimer(min(drainDelay, limit))
+	defer timer.Stop()
+	<-timer.C
+	if err := server.Shutdown(ctx); err != nil {
+		return process.ErrDrainTimeout
+	}
+	return nil
+}
+
+// sweep closes unused connections and forgets what is gone.
+func (g *Gateway) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.pool.Sweep(now)
+			g.directory.Expire(now)
+			g.ledger.Forget(g.directory.View())
+			g.metrics.inFlight.Update(float64(g.inFlight.Load()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/handlers.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/routing"
+)
+
+// tableHandler installs configurations.
+type tableHandler struct{ g *Gateway }
+
+// Replace implements feed.Handler.
+func (h *tableHandler) Replace(list []routing.Configuration, revision uint64, _ bool) {
+	h.Update(list, revision)
+}
+
+// Update implements feed.Handler.
+func (h *tableHandler) Update(list []routing.Configuration, revision uint64) {
+	for _, c := range list {
+		h.install(c, revision)
+	}
+	h.g.mu.Lock()
+	defer h.g.mu.Unlock()
+	h.g.configSeen = time.Now()
+}
+
+func (h *tableHandler) install(c routing.Configuration, revision uint64) {
+	table, err := routing.NewTable(c)
+	if err != nil {
+		h.g.log.Log(events.TableRejected).Int64("version", c.Version).Uint64("revision", revision).Err(err).Send()
+		return
+	}
+	if !h.g.current.Install(table) {
+		return
+	}
+	h.g.log.Log(events.TableInstalled).Int64("version", c.Version).Uint64("revision", revision).
+		Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Send()
+	h.g.mu.Lock()
+	defer h.g.mu.Unlock()
+	h.g.configured = true
+}
+
+// Lost implements feed.Handler.
+func (h *tableHandler) Lost(err error) {
+	h.g.log.Log(events.StoreLost).Str("feed", "configuration").Err(err).Send()
+}
+
+// Regained implements feed.Handler.
+func (h *tableHandler) Regained() {
+	h.g.log.Log(events.StoreRegained).Str("feed", "configuration").Send()
+}
+
+// instanceHandler keeps the directory of instances.
+type instanceHandler struct{ g *Gateway }
+
+// Replace implements feed.Handler.
+func (h *instanceHandler) Replace(list []fleet.Record, revision uint64, afterOutage bool) {
+	before := h.g.directory.View()
+	h.g.directory.Replace(list, afterOutage, time.Now())
+	h.compare(before, revision)
+	h.g.mu.Lock()
+	defer h.g.mu.Unlock()
+	h.g.listed = true
+}
+
+// Update implements feed.Handler.
+func (h *instanceHandler) Update(list []fleet.Record, revision uint64) {
+	if len(list) == 0 {
+		return
+	}
+	before := h.g.directory.View()
+	h.g.directory.Update(list, time.Now())
+	h.compare(before, revision)
+}
+
+// compare logs what changed and notes when the members did.
+func (h *instanceHandler) compare(before *fleet.View, revision uint64) {
+	after := h.g.directory.View()
+	members := false
+	for id, in := range after.Instances {
+		old, known := before.Instances[id]
+		members = members || !known
+		if !known || old != in {
+			h.g.log.Log(events.InstanceChanged).Str("instance", id).Str("service", in.Service).
+				Str("address", in.Address).Str("failure_domain", in.Domain).Bool("draining", in.Draining).
+				Str("accelerator", in.Accelerator).Int("from", in.Layers.From).Int("to", in.Layers.To).
+				Uint64("revision", revision).Send()
+		}
+	}
+	for id, in := range before.Instances {
+		if _, kept := after.Instances[id]; !kept {
+			members = true
+			h.g.pool.Drop(in.Address)
+			h.g.log.Log(events.InstanceChanged).Str("instance", id).Bool("gone", true).
+				Uint64("revision", revision).Send()
+		}
+	}
+	if members {
+		h.g.mu.Lock()
+		h.g.members = time.Now()
+		h.g.mu.Unlock()
+	}
+}
+
+// Lost implements feed.Handler.
+func (h *instanceHandler) Lost(err error) {
+	h.g.log.Log(events.StoreLost).Str("feed", "instances").Err(err).Send()
+}
+
+// Regained implements feed.Handler.
+func (h *instanceHandler) Regained() {
+	h.g.log.Log(events.StoreRegained).Str("feed", "instances").Send()
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,323 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/backend"
+	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/events"
+)
+
+const (
+	// stallCheck is how long a stream may be silent before the gateway looks
+	// for the cause, at each further stallCheck again.
+	stallCheck = 250 * time.Millisecond
+	// stallLimit is how long a stream may be silent before it is moved
+	// whatever the cause: clients leave after two seconds.
+	stallLimit = 1300 * time.Millisecond
+	// writeTimeout bounds the sending of an event to a slow client.
+	writeTimeout = 10 * time.Second
+)
+
+var (
+	// errMoved ends an exchange of a stream that goes on elsewhere.
+	errMoved = errors.New("gateway: stream moves to other instances")
+	// errEventOrder means that an instance left out an event.
+	errEventOrder = errors.New("gateway: event missing")
+	// errClientGone means that the client no longer reads.
+	errClientGone = errors.New("gateway: client gone")
+)
+
+// stream is a call whose response is a series of events.
+type stream struct {
+	*call
+	control *http.ResponseController
+	// lastEvent is the id of the last event sent to the client.
+	lastEvent string
+	events    int
+	grant     chain.Grant
+}
+
+// serveStream forwards a stream, over several instances if some fail.
+func (c *call) serveStream() {
+	s := &stream{call: c, control: http.NewResponseController(c.w), lastEvent: c.in.LastEvent}
+	for {
+		grant, err := c.admit()
+		if err != nil {
+			s.unadmitted(err)
+			return
+		}
+		s.grant = grant
+		again := s.try()
+		c.g.admission.Release(s.grant)
+		if !again {
+			return
+		}
+	}
+}
+
+// unadmitted ends a stream that no instance can serve or continue.
+func (s *stream) unadmitted(err error) {
+	if s.answered == 0 {
+		s.refuseUnadmitted(err)
+		return
+	}
+	s.cut("no instance continues the stream: " + err.Error())
+}
+
+// cut ends a stream that has begun so that the client sees that it is not
+// complete.
+func (s *stream) cut(reason string) {
+	s.line(events.StreamCut).Str("reason", reason).Int("events", s.events).Send()
+	s.g.metrics.cut()
+	panic(http.ErrAbortHandler)
+}
+
+// try sends the stream to one path. It returns true if another is to be tried.
+func (s *stream) try() bool {
+	first := s.grant.Path.First()
+	s.lastPath = s.grant.Path
+	s.sends++
+	options := backend.Options{
+		Deadline: s.deadline, MaxIdle: idleForOnce, Mine: s.mine, StallAfter: stallCheck, OnStall: s.stalled,
+	}
+	x, err := s.g.pool.Do(s.context(), first.Address, s.request(s.grant.Path, s.lastEvent), options)
+	if err != nil {
+		return s.afterEnd(first, err)
+	}
+	reply := s.g.protocol.Reply(x.Response)
+	if reply.NotExecuted {
+		x.Abort()
+		return s.afterNotRun(first, reply, x.Response.StatusCode)
+	}
+	if x.Response.StatusCode != http.StatusOK {
+		return s.passFailure(x, first)
+	}
+	if !genuine(x.Response, reply) {
+		x.Abort()
+		return s.afterEnd(first, errors.Join(backend.ErrBroken, errNotGenuine))
+	}
+	s.begin(x.Response)
+	err = s.relay(x.Response.Body)
+	if err == nil {
+		x.Finish()
+		s.g.ledger.Succeeded(first.Instance)
+		return false
+	}
+	x.Abort()
+	return s.afterEnd(first, err)
+}
+
+// passFailure handles a response that is not a stream.
+func (s *stream) passFailure(x *backend.Exchange, first chain.Part) bool {
+	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxResponseBytes))
+	if err != nil {
+		x.Abort()
+		return s.afterEnd(first, errors.Join(backend.ErrBroken, err))
+	}
+	x.Finish()
+	s.runs++
+	s.avoid = append(s.avoid, first.Instance)
+	if x.Response.StatusCode >= http.StatusInternalServerError && s.mayRepeat() {
+		return true
+	}
+	if s.answered != 0 {
+		s.cut("the instance fails: " + x.Response.Status)
+	}
+	s.pass(x.Response, body)
+	return false
+}
+
+// begin sends the headers of the first instance that answers.
+func (s *stream) begin(resp *http.Response) {
+	if s.answered != 0 {
+		return
+	}
+	closing := s.w.Header().Get("Connection")
+	copyHeaders(s.w.Header(), resp.Header)
+	if closing != "" {
+		s.w.Header().Set("Connection", closing)
+	}
+	s.answered = resp.StatusCode
+	s.w.WriteHeader(resp.StatusCode)
+}
+
+// relay forwards whole events until the stream is complete.
+func (s *stream) relay(body io.Reader) error {
+	r := bufio.NewReaderSize(body, eventBufferBytes)
+	for {
+		event, id, err := readEvent(r)
+		if err == io.EOF && len(event) == 0 {
+			return nil
+		}
+		if err != nil {
+			return errors.Join(backend.ErrBroken, err)
+		}
+		if err := s.forward(event, id); err != nil {
+			return err
+		}
+	}
+}
+
+// forward sends one event to the client unless the client has it.
+func (s *stream) forward(event []byte, id string) error {
+	if id != "" {
+		switch compareIDs(id, s.lastEvent) {
+		case eventKnown:
+			return nil
+		case eventGap:
+			return errors.Join(backend.ErrBroken, errEventOrder)
+		}
+	}
+	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := s.w.Write(event); err != nil {
+		return errClientGone
+	}
+	if err := s.control.Flush(); err != nil {
+		return errClientGone
+	}
+	if s.events == 0 {
+		s.g.metrics.firstEvent(time.Since(s.started))
+	}
+	s.events++
+	if id != "" {
+		s.lastEvent = id
+	}
+	return nil
+}
+
+// stalled is called while a stream is silent. An error moves the stream.
+func (s *stream) stalled(waited time.Duration) error {
+	if waited >= stallLimit {
+		return errMoved
+	}
+	fault, err := s.g.faults.Locate(s.context(), s.grant.Path, s.in.ID, time.Now())
+	if err != nil || fault == "" {
+		return nil
+	}
+	s.avoid = append(s.avoid, fault)
+	s.line(events.StreamStalled).Str("fault", fault).Dur("silent_ms", waited).Int("events", s.events).Send()
+	return errMoved
+}
+
+// afterEnd decides what follows a stream that ended before it was complete.
+func (s *stream) afterEnd(first chain.Part, err error) bool {
+	if errors.Is(err, errClientGone) || s.ended() {
+		return false
+	}
+	unsent := errors.Is(err, backend.ErrNotSent)
+	if !errors.Is(err, errMoved) {
+		s.g.ledger.Failed(first.Instance, time.Now())
+		s.avoid = append(s.avoid, first.Instance)
+	}
+	if !unsent {
+		s.runs++
+	}
+	repeat := unsent && s.mayResend() || !unsent && s.mayContinue()
+	if repeat {
+		s.line(events.RequestRepeated).Str("instance", first.Instance).Err(err).Int("events", s.events).Send()
+		return true
+	}
+	switch {
+	case s.answered != 0:
+		s.cut(err.Error())
+	case s.expired():
+		s.fail(http.StatusGatewayTimeout, "no response in time")
+	case s.runs == 0:
+		s.refuse("no instance can be reached", s.g.returnAfter())
+	default:
+		s.fail(http.StatusBadGateway, "response broken: "+err.Error())
+	}
+	return false
+}
+
+// mayContinue reports whether a stream that has begun may go on elsewhere. An
+// instance that is lost doesn't count as an attempt.
+func (s *stream) mayContinue() bool {
+	return s.route.Repeatable() && s.mayResend()
+}
+
+// afterNotRun handles a refusal.
+func (s *stream) afterNotRun(first chain.Part, reply Reply, status int) bool {
+	if s.answered == 0 {
+		return s.afterRefusal(first, reply, status)
+	}
+	s.avoid = append(s.avoid, first.Instance)
+	s.g.ledger.Failed(first.Instance, time.Now())
+	if s.mayResend() {
+		return true
+	}
+	s.cut("instances refuse to continue the stream")
+	return false
+}
+
+// eventBufferBytes is the read buffer of a stream; longer events are held in
+// memory of their own, up to maxEventBytes.
+const (
+	eventBufferBytes = 2 << 10
+	maxEventBytes    = 1 << 20
+)
+
+var errEventTooLong = errors.New("gateway: event too long")
+
+// readEvent reads one event with its empty line, and its id. io.EOF without an
+// event is the end of the stream.
+func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
+			continue
+		}
+		if err == io.EOF && len(event) > 0 {
+			return nil, "", io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, "", err
+		}
+		if len(event) > maxEventBytes {
+			return nil, "", errEventTooLong
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return event, id, nil
+		}
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+}
+
+// eventOrder is the relation of an event to the last one sent.
+type eventOrder int
+
+const (
+	eventNext eventOrder = iota
+	eventKnown
+	eventGap
+)
+
+// compareIDs compares numeric ids; others count as next.
+func compareIDs(id, last string) eventOrder {
+	n, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return eventNext
+	}
+	known, err := strconv.ParseInt(last, 10, 64)
+	if err != nil {
+		return eventNext
+	}
+	switch {
+	case n <= known:
+		return eventKnown
+	case n > known+1:
+		return eventGap
+	}
+	return eventNext
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,139 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+)
+
+// Table answers look-ups in one configuration. It is immutable.
+type Table struct {
+	version  int64
+	limits   Limits
+	hosts    map[string]map[string]*Route
+	services map[string]*Service
+	teams    map[string]*Team
+}
+
+// NewTable returns the table of a configuration, or ErrInvalid.
+func NewTable(c Configuration) (*Table, error) {
+	t := &Table{
+		version:  c.Version,
+		limits:   c.Limits,
+		hosts:    make(map[string]map[string]*Route),
+		services: make(map[string]*Service, len(c.Services)),
+		teams:    make(map[string]*Team),
+	}
+	for _, s := range c.Services {
+		t.services[s.Name] = &s
+	}
+	for _, team := range c.Teams {
+		for _, key := range team.Keys {
+			t.teams[key] = &team
+		}
+	}
+	for _, r := range c.Routes {
+		if err := t.add(&r); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) add(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return fmt.Errorf("%w: route %s: prefix %q", ErrInvalid, r.Name, r.Prefix)
+	}
+	if len(r.Backends) == 0 {
+		return fmt.Errorf("%w: route %s: no service", ErrInvalid, r.Name)
+	}
+	for _, b := range r.Backends {
+		if t.services[b.Service] == nil {
+			return fmt.Errorf("%w: route %s: unknown service %q", ErrInvalid, r.Name, b.Service)
+		}
+	}
+	prefixes := t.hosts[r.Host]
+	if prefixes == nil {
+		prefixes = make(map[string]*Route)
+		t.hosts[r.Host] = prefixes
+	}
+	prefixes[r.Prefix] = r
+	return nil
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns the limits for clients.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Services returns all services by name. The map must not be changed.
+func (t *Table) Services() map[string]*Service { return t.services }
+
+// Match returns the route of the host with the longest prefix of path, or
+// ErrNoRoute.
+func (t *Table) Match(host, path string) (*Route, error) {
+	prefixes := t.hosts[host]
+	for end := len(path); end > 0; {
+		end = strings.LastIndexByte(path[:end], '/')
+		if end < 0 {
+			break
+		}
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r, nil
+		}
+	}
+	return nil, ErrNoRoute
+}
+
+// Team returns the team of an API key, or ErrUnknownKey.
+func (t *Table) Team(key string) (*Team, error) {
+	if team := t.teams[key]; team != nil {
+		return team, nil
+	}
+	return nil, ErrUnknownKey
+}
+
+// HasTeams reports whether routes that are not public need an API key.
+func (t *Table) HasTeams() bool { return len(t.teams) > 0 }
+
+// Pick returns a service of the route. draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, b := range r.Backends {
+		total += max(b.Weight, 0)
+	}
+	if total == 0 {
+		return r.Backends[0].Service
+	}
+	at := draw * float64(total)
+	for _, b := range r.Backends {
+		at -= float64(max(b.Weight, 0))
+		if at < 0 {
+			return b.Service
+		}
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
+
+// Current holds the table in force. Its version never falls.
+type Current struct {
+	table atomic.Pointer[Table]
+}
+
+// Get returns the table in force, or nil before the first.
+func (c *Current) Get() *Table { return c.table.Load() }
+
+// Install puts a table in force unless one of the same or a higher version
+// is. It reports whether it did.
+func (c *Current) Install(t *Table) bool {
+	for {
+		old := c.table.Load()
+		if old != nil && old.version >= t.version {
+			return false
+		}
+		if c.table.CompareAndSwap(old, t) {
+			return true
+		}
+	}
+}
