gateway: Share load between gateways and place layers by capacity

Change: gateways report their load to each other in CBOR datagrams and find each other in the store; placement values the KV cache for each layer, now and after the loss of its largest holder; a held lease is renewed by one call; a silent stream moves only if other instances can take it.

--- a/internal/chain/ledger.go
+++ b/internal/chain/ledger.go
@@ -21,6 +21,9 @@
 	// avoidUntil is the time until which the instance gets no new work.
 	avoidUntil time.Time
 	failures   int
+	// atFault is true if an engine named the instance as the one that it
+	// waits for; peers are told of it.
+	atFault bool
 }
 
 // Ledger keeps account of the work that this process has given to instances.
@@ -28,11 +31,12 @@
 type Ledger struct {
 	mu       sync.Mutex
 	accounts map[string]*account
+	peers    map[string]*peerWork
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{accounts: make(map[string]*account)}
+	return &Ledger{accounts: make(map[string]*account), peers: make(map[string]*peerWork)}
 }
 
 // Demand describes a request that needs instances.
@@ -52,11 +56,22 @@
 	tokens float64
 }
 
-func (l *Ledger) account(id string) account {
+// account returns the work that all gateways have given to an instance, and
+// what this one believes of it.
+func (l *Ledger) account(id string, now time.Time) account {
+	var sum account
 	if a := l.accounts[id]; a != nil {
-		return *a
+		sum = *a
 	}
-	return account{}
+	for _, p := range l.peers {
+		if now.Sub(p.at) > peerWorkAge {
+			continue
+		}
+		work := p.loads[id]
+		sum.tokenLayers += work.TokenLayers
+		sum.requests += work.Requests
+	}
+	return sum
 }
 
 func (l *Ledger) entry(id string) *account {
@@ -69,7 +84,8 @@
 }
 
 func (l *Ledger) avoided(id string, now time.Time) bool {
-	return now.Before(l.account(id).avoidUntil)
+	a := l.accounts[id]
+	return a != nil && now.Before(a.avoidUntil)
 }
 
 // Choose reserves the fastest path for a demand. It returns ErrNoInstance if
@@ -83,6 +99,16 @@
 	return l.choosePath(view, s, d, now)
 }
 
+// Fits reports whether Choose would find a path for a demand.
+func (l *Ledger) Fits(view *fleet.View, s *routing.Service, d Demand, now time.Time) bool {
+	g, err := l.Choose(view, s, d, now)
+	if err != nil {
+		return false
+	}
+	l.Release(g)
+	return true
+}
+
 func (l *Ledger) choosePath(view *fleet.View, s *routing.Service, d Demand, now time.Time) (Grant, error) {
 	var bestPath Path
 	best, exists := never, false
@@ -185,7 +211,7 @@
 		if in.Service != s.Name || in.Draining || contains(d.Avoid, in.ID) {
 			continue
 		}
-		a := l.account(in.ID)
+		a := l.account(in.ID, now)
 		load := a.requests
 		if in.Domain != d.Domain {
 			load += foreignDomainLoad
@@ -238,6 +264,14 @@
 	a.failures++
 }
 
+// AtFault records that an engine waits for an instance in vain.
+func (l *Ledger) AtFault(id string, now time.Time) {
+	l.Failed(id, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entry(id).atFault = true
+}
+
 // Succeeded records a complete answer.
 func (l *Ledger) Succeeded(id string) {
 	l.mu.Lock()
@@ -245,6 +279,7 @@
 	a := l.entry(id)
 	a.failures = 0
 	a.avoidUntil = time.Time{}
+	a.atFault = false
 }
 
 // Forget drops the accounts of instances that are not in the view and have no
@@ -259,6 +294,19 @@
 	}
 }
 
+// lostFailures is the number of failures in a row after which an instance
+// counts as lost.
+const lostFailures = 2
+
+// Lost reports whether an instance is avoided and was named as the one at
+// fault, or failed repeatedly.
+func (l *Ledger) Lost(id string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[id]
+	return a != nil && now.Before(a.avoidUntil) && (a.atFault || a.failures >= lostFailures)
+}
+
 // Avoided reports whether the instance gets no new work.
 func (l *Ledger) Avoided(id string, now time.Time) bool {
 	l.mu.Lock()
--- a/internal/chain/path.go
+++ b/internal/chain/path.go
@@ -65,7 +65,7 @@
 		if !ok || l.avoided(in.ID, now) {
 			continue
 		}
-		a := l.account(in.ID)
+		a := l.account(in.ID, now)
 		if a.requests >= in.Slots && in.Slots > 0 {
 			continue
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -36,9 +36,8 @@
 }
 
 const (
-	// watchWait is how long a watch waits for a change. A watch on a
-	// connection that went silent is noticed after watchWait + watchSlack.
-	watchWait  = 3 * time.Second
+	// watchSlack is how much longer than its wait a watch may take before its
+	// connection counts as silent.
 	watchSlack = 700 * time.Millisecond
 	// listTimeout bounds a list.
 	listTimeout = 1500 * time.Millisecond
@@ -57,6 +56,7 @@
 type Feed[R any] struct {
 	source  Source[R]
 	handler Handler[R]
+	wait    time.Duration
 
 	revision uint64
 	lost     bool
@@ -64,9 +64,9 @@
 	pause    time.Duration
 }
 
-// New returns a feed.
-func New[R any](source Source[R], handler Handler[R]) *Feed[R] {
-	return &Feed[R]{source: source, handler: handler, pause: retryMin}
+// New returns a feed whose watches wait for changes as long as wait.
+func New[R any](source Source[R], handler Handler[R], wait time.Duration) *Feed[R] {
+	return &Feed[R]{source: source, handler: handler, wait: wait, pause: retryMin}
 }
 
 // Run follows the source until ctx ends.
@@ -100,9 +100,9 @@
 }
 
 func (f *Feed[R]) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+watchSlack)
 	defer cancel()
-	records, revision, err := f.source.Watch(ctx, f.revision, watchWait)
+	records, revision, err := f.source.Watch(ctx, f.revision, f.wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.revision = 0
 		return nil
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -194,11 +194,16 @@
 	if c.service.Model != nil {
 		wait = min(maxWaitGenerative, left)
 	}
-	demand := chain.Demand{Domain: c.g.settings.FailureDomain, Avoid: c.avoid}
+	return c.g.admission.Acquire(c.context(), c.service, c.demand(), c.urgency, wait)
+}
+
+// demand describes what the call needs.
+func (c *call) demand() chain.Demand {
+	d := chain.Demand{Domain: c.g.settings.FailureDomain, Avoid: c.avoid}
 	if c.service.Model != nil {
-		demand.Tokens = c.tokens()
+		d.Tokens = c.tokens()
 	}
-	return c.g.admission.Acquire(c.context(), c.service, demand, c.urgency, wait)
+	return d
 }
 
 // outputShare is the part of the expected output that a request is charged
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -12,6 +12,8 @@
 	ratio   float64
 	window  time.Duration
 	reserve float64
+	// gateways returns how many processes share the reserve.
+	gateways func() int
 
 	mu       sync.Mutex
 	services map[string]*repeatWindow
@@ -25,15 +27,17 @@
 	slot              int64
 }
 
+// usableReserve is the part of the reserve that is used: the load of the
+// gateways and the edges of their windows differ.
+const usableReserve = 0.6
+
 // newRepeatBudget returns the budget of one of several gateways.
-func newRepeatBudget(ratio float64, window time.Duration, reserve float64, gateways int) *repeatBudget {
-	// Half of the reserve stays unused, since the load of the gateways and
-	// the edges of their windows differ.
-	const usable = 0.5
+func newRepeatBudget(ratio float64, window time.Duration, reserve float64, gateways func() int) *repeatBudget {
 	return &repeatBudget{
 		ratio:    ratio,
 		window:   max(window, time.Second),
-		reserve:  usable * reserve / float64(max(gateways, 1)),
+		reserve:  usableReserve * reserve,
+		gateways: gateways,
 		services: make(map[string]*repeatWindow),
 	}
 }
@@ -56,7 +60,8 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	if float64(repeats+1) > b.ratio*float64(requests)+b.reserve {
+	share := b.reserve / float64(max(b.gateways(), 1))
+	if float64(repeats+1) > b.ratio*float64(requests)+share {
 		return false
 	}
 	w.repeats[w.slot%(budgetSlots+1)]++
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -34,6 +34,8 @@
 	// runs counts the instances that may have run the request, sends those
 	// that it was sent to.
 	runs, sends int
+	// events counts the events of a stream that the client got.
+	events int
 	// answered is the status sent to the client, 0 before.
 	answered int
 	// lastPath and waited explain the outcome in the log.
--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -55,7 +55,7 @@
 	}
 	for _, part := range p {
 		if part.Address == address {
-			f.ledger.Failed(part.Instance, now)
+			f.ledger.AtFault(part.Instance, now)
 			return part.Instance, nil
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/feed"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/gossip"
 	"github.com/nutmegroute/nutmegroute/internal/metrics"
 	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
@@ -30,6 +31,14 @@
 	Configurations feed.Source[routing.Configuration]
 	Instances      feed.Source[fleet.Record]
 	Lease          Lease
+	Gateways       Registry
+}
+
+// Registry is where gateways find each other.
+type Registry interface {
+	feed.Source[gossip.PeerRecord]
+	// Register makes a gateway known to the others.
+	Register(ctx context.Context, p gossip.Peer) error
 }
 
 // Gateway is the process that serves clients.
@@ -47,6 +56,7 @@
 	admission *admission
 	budget    *repeatBudget
 	faults    *faultFinder
+	gossip    *gossip.Exchange
 
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -63,7 +73,7 @@
 // New returns a gateway.
 func New(s Settings, p Platform, log *events.Logger, scope tally.Scope) *Gateway {
 	directory, ledger := fleet.NewDirectory(), chain.NewLedger()
-	return &Gateway{
+	g := &Gateway{
 		settings:  s,
 		protocol:  p.Protocol,
 		engines:   p.Engines,
@@ -74,12 +84,25 @@
 		ledger:    ledger,
 		pool:      backend.NewPool(),
 		admission: newAdmission(ledger, directory),
-		budget:    newRepeatBudget(s.RetryRatio, s.RetryWindow, s.RetryReserve, s.ExpectedPeers),
 		faults:    newFaultFinder(p.Engines, ledger),
 	}
+	g.budget = newRepeatBudget(s.RetryRatio, s.RetryWindow, s.RetryReserve, g.gateways)
+	return g
+}
+
+// gateways returns how many gateways share the retry budget. Some that were
+// not heard may be cut off from this one and still send.
+func (g *Gateway) gateways() int {
+	if g.gossip == nil {
+		return 1
+	}
+	return max(g.gossip.Alive(time.Now()), g.gossip.Known())
 }
 
 const (
+	// watchWait is how long a watch for configurations or instances waits. One
+	// on a connection that went silent is noticed soon after it.
+	watchWait = 3 * time.Second
 	// staleAfter is the age from which the configuration may be outdated.
 	staleAfter = 4 * time.Second
 	// sweepInterval is the pause between two clean-ups.
@@ -135,10 +158,19 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	group.Go(func() error { feed.New(g.platform.Configurations, &tableHandler{g}).Run(background); return nil })
-	group.Go(func() error { feed.New(g.platform.Instances, &instanceHandler{g: g}).Run(background); return nil })
+	group.Go(func() error {
+		feed.New(g.platform.Configurations, &tableHandler{g}, watchWait).Run(background)
+		return nil
+	})
+	group.Go(func() error {
+		feed.New(g.platform.Instances, &instanceHandler{g}, watchWait).Run(background)
+		return nil
+	})
 	group.Go(func() error { g.admission.run(background); return nil })
 	group.Go(func() error { g.sweep(background); return nil })
+	if err := g.joinPeers(background, &group); err != nil {
+		return err
+	}
 	group.Go(func() error { newPlacer(g, g.platform.Lease).run(ctx); return nil })
 	server := &http.Server{
 		Handler:           g,
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -34,7 +34,7 @@
 	if c.sends == 0 {
 		return
 	}
-	c.line(events.RequestDone).Int("status", c.answered).Dur("waited_ms", c.waited).
+	c.line(events.RequestDone).Int("events", c.events).Int("status", c.answered).Dur("waited_ms", c.waited).
 		Str("path", formatPath(c.lastPath)).Int("runs", c.runs).Send()
 }
 
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/feed"
+	"github.com/nutmegroute/nutmegroute/internal/gossip"
+)
+
+const (
+	// registerTimeout bounds one try to register, registerPause the time
+	// between two.
+	registerTimeout = time.Second
+	registerPause   = time.Second
+	// peerWatchWait is how long a watch for peers waits: they change seldom.
+	peerWatchWait = 20 * time.Second
+)
+
+// joinPeers starts the exchange with the other gateways.
+func (g *Gateway) joinPeers(ctx context.Context, group *errgroup.Group) error {
+	if g.settings.PeerPort == 0 {
+		return nil
+	}
+	address := net.JoinHostPort(g.settings.Address, strconv.Itoa(g.settings.PeerPort))
+	exchange, err := gossip.Listen(g.settings.Instance, address, g.ledger)
+	if err != nil {
+		return err
+	}
+	self, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return err
+	}
+	g.gossip = exchange
+	group.Go(func() error { return exchange.Run(ctx) })
+	group.Go(func() error {
+		g.register(ctx, gossip.Peer{Name: g.settings.Instance, Address: self})
+		feed.New(g.platform.Gateways, &peerHandler{g}, peerWatchWait).Run(ctx)
+		return nil
+	})
+	return nil
+}
+
+// register makes this gateway known to the others.
+func (g *Gateway) register(ctx context.Context, self gossip.Peer) {
+	for ctx.Err() == nil {
+		err := func() error {
+			ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+			defer cancel()
+			return g.platform.Gateways.Register(ctx, self)
+		}()
+		if err == nil {
+			return
+		}
+		g.log.LogLimited(events.StoreLost).Str("feed", "registration").Err(err).Send()
+		timer := time.NewTimer(registerPause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// peerHandler keeps the set of gateways.
+type peerHandler struct{ g *Gateway }
+
+// Replace implements feed.Handler.
+func (h *peerHandler) Replace(list []gossip.PeerRecord, _ uint64, _ bool) { h.g.gossip.Update(list) }
+
+// Update implements feed.Handler.
+func (h *peerHandler) Update(list []gossip.PeerRecord, _ uint64) { h.g.gossip.Update(list) }
+
+// Lost implements feed.Handler.
+func (h *peerHandler) Lost(err error) {
+	h.g.log.Log(events.StoreLost).Str("feed", "gateways").Err(err).Send()
+}
+
+// Regained implements feed.Handler.
+func (h *peerHandler) Regained() {
+	h.g.log.Log(events.StoreRegained).Str("feed", "gateways").Send()
+}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -35,7 +35,7 @@
 type placer struct {
 	g       *Gateway
 	lease   Lease
-	held    bool
+	leading bool
 	pending map[string]pendingOrder
 	// mu guards begun, which orders in progress change.
 	mu    sync.Mutex
@@ -81,13 +81,13 @@
 func (p *placer) leads(now time.Time) bool {
 	held := p.lease.Held(now)
 	switch {
-	case held && !p.held:
+	case held && !p.leading:
 		p.g.log.Log(events.PlacerElected).Send()
-	case !held && p.held:
+	case !held && p.leading:
 		p.g.log.Log(events.PlacerDeposed).Send()
 		clear(p.pending)
 	}
-	p.held = held
+	p.leading = held
 	return held
 }
 
@@ -128,7 +128,7 @@
 func (p *placer) usable(view *fleet.View, s *routing.Service, now time.Time) map[string][]fleet.Instance {
 	byDomain := make(map[string][]fleet.Instance)
 	for _, in := range view.Instances {
-		if in.Service == s.Name && !in.Draining {
+		if in.Service == s.Name && !in.Draining && !p.g.ledger.Lost(in.ID, now) {
 			byDomain[in.Domain] = append(byDomain[in.Domain], in)
 		}
 	}
@@ -148,11 +148,7 @@
 
 // place gives the orders that complete one failure domain, all at once.
 func (p *placer) place(ctx context.Context, s *routing.Service, instances []fleet.Instance, now time.Time) {
-	ordered := make(map[string]fleet.LayerRange)
-	for id, o := range p.pending {
-		ordered[id] = o.layers
-	}
-	for _, move := range placement.Plan(s.Model, instances, ordered) {
+	for _, move := range placement.Plan(s.Model, instances, p.held(instances)) {
 		share := float64(move.Layers.Len()) / float64(s.Model.Layers)
 		load := time.Duration(share * float64(s.Model.LoadTime))
 		p.pending[move.Instance.ID] = pendingOrder{
@@ -160,6 +156,21 @@
 		}
 		go p.order(ctx, move)
 	}
+	if missing := placement.Missing(s.Model, instances, p.held(instances)); missing > 0 {
+		p.g.log.LogLimited(events.LayersMissing).Str("service", s.Name).Int("missing", missing).
+			Int("instances", len(instances)).Send()
+	}
+}
+
+// held returns the ranges that instances were ordered to hold.
+func (p *placer) held(instances []fleet.Instance) map[string]fleet.LayerRange {
+	ordered := make(map[string]fleet.LayerRange)
+	for _, in := range instances {
+		if o, ok := p.pending[in.ID]; ok {
+			ordered[in.ID] = o.layers
+		}
+	}
+	return ordered
 }
 
 // order sends one order. Its outcome is seen in what the instance reports.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -25,15 +25,15 @@
 	ReadyAddress  string
 	// MetricsPort serves /metrics on Address, 0 for none.
 	MetricsPort int
+	// PeerPort receives the reports of other gateways on Address, 0 for none.
+	PeerPort int
 	// DrainTimeout is how long a planned stop may take.
 	DrainTimeout time.Duration
 	// Repeats of requests may reach RetryRatio of the requests of a window,
 	// and RetryReserve more, over all gateways.
-	RetryRatio   float64
-	RetryWindow  time.Duration
-	RetryReserve float64
-	// ExpectedPeers is the number of gateways that share the retry budget.
-	ExpectedPeers   int
+	RetryRatio      float64
+	RetryWindow     time.Duration
+	RetryReserve    float64
 	MemoryLimitMB   int
 	DescriptorLimit int
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -40,7 +40,6 @@
 	control *http.ResponseController
 	// lastEvent is the id of the last event sent to the client.
 	lastEvent string
-	events    int
 	grant     chain.Grant
 }
 
@@ -194,7 +193,7 @@
 
 // stalled is called while a stream is silent. An error moves the stream.
 func (s *stream) stalled(waited time.Duration) error {
-	if waited >= stallLimit {
+	if waited >= stallLimit && s.elsewhere() {
 		return errMoved
 	}
 	fault, err := s.g.faults.Locate(s.context(), s.grant.Path, s.in.ID, time.Now())
@@ -206,6 +205,20 @@
 	return errMoved
 }
 
+// elsewhere reports whether instances other than the first of the path could
+// take the stream, and keeps it away from that one. Sent to the same path again
+// it would only lose its place.
+func (s *stream) elsewhere() bool {
+	first := s.grant.Path.First().Instance
+	demand := s.demand()
+	demand.Avoid = append(append([]string{}, s.avoid...), first)
+	if !s.g.ledger.Fits(s.g.directory.View(), s.service, demand, time.Now()) {
+		return false
+	}
+	s.avoid = append(s.avoid, first)
+	return true
+}
+
 // afterEnd decides what follows a stream that ended before it was complete.
 func (s *stream) afterEnd(first chain.Part, err error) bool {
 	if errors.Is(err, errClientGone) || s.ended() {
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,234 @@
+// Package gossip tells the gateways of a deployment what work each of them has
+// given to instances, and which instances it found at fault. It sends CBOR in
+// datagrams: each replaces the one before, so that a lost one does no harm and
+// no connection has to be kept.
+package gossip
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/nutmegroute/nutmegroute/internal/chain"
+)
+
+const (
+	// interval is the time between two reports to a peer.
+	interval = 200 * time.Millisecond
+	// maxDatagram bounds a report in bytes, so that it travels in one packet.
+	maxDatagram = 1400
+	// loadsPerDatagram is how many loads fit in one datagram.
+	loadsPerDatagram = 40
+	// heardWithin is how recent a report must be for its sender to count as
+	// alive.
+	heardWithin = 10 * time.Second
+)
+
+// Peer is another gateway.
+type Peer struct {
+	Name string
+	// Address is where it receives reports.
+	Address netip.AddrPort
+}
+
+// PeerRecord is a peer in the platform's store. Gone is true if the entry was
+// removed.
+type PeerRecord struct {
+	Peer
+	Gone bool
+}
+
+// message is one datagram. A report with many loads takes several, which are
+// applied one by one.
+type message struct {
+	From string `cbor:"1,keyasint"`
+	// Round numbers the report, Part its datagrams from 0.
+	Round uint64 `cbor:"2,keyasint"`
+	Part  int    `cbor:"3,keyasint"`
+	Loads []load `cbor:"4,keyasint,omitempty"`
+	// Faults are instances at fault with the time for which they are avoided.
+	Faults []fault `cbor:"5,keyasint,omitempty"`
+}
+
+type load struct {
+	_           struct{} `cbor:",toarray"`
+	Instance    string
+	TokenLayers uint64
+	Requests    uint32
+}
+
+type fault struct {
+	_           struct{} `cbor:",toarray"`
+	Instance    string
+	RemainingMS uint32
+}
+
+// Exchange sends and receives reports.
+type Exchange struct {
+	name   string
+	ledger *chain.Ledger
+	conn   *net.UDPConn
+
+	mu    sync.Mutex
+	peers map[string]netip.AddrPort
+	heard map[string]time.Time
+	round uint64
+}
+
+// Listen returns an exchange that receives at address.
+func Listen(name, address string, ledger *chain.Ledger) (*Exchange, error) {
+	local, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "gossip: address")
+	}
+	conn, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return nil, eris.Wrap(err, "gossip: listen")
+	}
+	return &Exchange{
+		name: name, ledger: ledger, conn: conn,
+		peers: make(map[string]netip.AddrPort), heard: make(map[string]time.Time),
+	}, nil
+}
+
+// Run exchanges reports until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
+	defer stop()
+	go x.sendAll(ctx)
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, err := x.conn.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err == nil {
+			x.receive(buffer[:n], time.Now())
+		}
+	}
+}
+
+// Update changes the set of peers.
+func (x *Exchange) Update(records []PeerRecord) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, r := range records {
+		switch {
+		case r.Name == x.name:
+		case r.Gone:
+			delete(x.peers, r.Name)
+		default:
+			x.peers[r.Name] = r.Address
+		}
+	}
+}
+
+// Alive returns the number of gateways that were heard recently, with this
+// one.
+func (x *Exchange) Alive(now time.Time) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	alive := 1
+	for _, at := range x.heard {
+		if now.Sub(at) < heardWithin {
+			alive++
+		}
+	}
+	return alive
+}
+
+// Known returns the number of gateways that are registered, with this one.
+func (x *Exchange) Known() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.peers) + 1
+}
+
+func (x *Exchange) sendAll(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			x.send(now)
+		}
+	}
+}
+
+func (x *Exchange) send(now time.Time) {
+	x.mu.Lock()
+	peers := make([]netip.AddrPort, 0, len(x.peers))
+	for _, address := range x.peers {
+		peers = append(peers, address)
+	}
+	x.round++
+	round := x.round
+	x.mu.Unlock()
+	if len(peers) == 0 {
+		return
+	}
+	for _, datagram := range x.encode(round, now) {
+		for _, address := range peers {
+			// A report that can't be sent is replaced by the next one.
+			_, _ = x.conn.WriteToUDPAddrPort(datagram, address)
+		}
+	}
+}
+
+// encode returns the datagrams of a report.
+func (x *Exchange) encode(round uint64, now time.Time) [][]byte {
+	loads, faults := x.ledger.Own(now)
+	m := message{From: x.name, Round: round}
+	for _, f := range faults {
+		m.Faults = append(m.Faults, fault{Instance: f.Instance, RemainingMS: uint32(f.Remaining.Milliseconds())})
+	}
+	var datagrams [][]byte
+	for {
+		count := min(len(loads), loadsPerDatagram)
+		for _, l := range loads[:count] {
+			m.Loads = append(m.Loads, load{Instance: l.Instance, TokenLayers: uint64(max(l.TokenLayers, 0)),
+				Requests: uint32(max(l.Requests, 0))})
+		}
+		if data, err := cbor.Marshal(m); err == nil {
+			datagrams = append(datagrams, data)
+		}
+		loads = loads[count:]
+		if len(loads) == 0 {
+			return datagrams
+		}
+		m = message{From: x.name, Round: round, Part: m.Part + 1}
+	}
+}
+
+// receive applies one datagram. What can't be decoded is dropped: it comes
+// from something else.
+func (x *Exchange) receive(data []byte, now time.Time) {
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil || m.From == "" || m.From == x.name {
+		return
+	}
+	x.mu.Lock()
+	x.heard[m.From] = now
+	x.mu.Unlock()
+	loads := make([]chain.Load, 0, len(m.Loads))
+	for _, l := range m.Loads {
+		loads = append(loads, chain.Load{
+			Instance: l.Instance, TokenLayers: float64(l.TokenLayers), Requests: int(l.Requests),
+		})
+	}
+	faults := make([]chain.Fault, 0, len(m.Faults))
+	for _, f := range m.Faults {
+		faults = append(faults, chain.Fault{
+			Instance: f.Instance, Remaining: time.Duration(f.RemainingMS) * time.Millisecond,
+		})
+	}
+	x.ledger.SetPeer(m.From, m.Round, m.Part, loads, faults, now)
+}
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -113,6 +113,11 @@
 func (h *Holder) Step(ctx context.Context) error {
 	h.turn.Lock()
 	defer h.turn.Unlock()
+	if fencing, err := h.Check(h.opts.Now()); err == nil {
+		// While the lease is held, its version is known. A conflict means that
+		// it is not; the next step reads it.
+		return h.renew(ctx, fencing)
+	}
 	rec, version, err := h.read(ctx)
 	if err != nil {
 		return err
@@ -125,6 +130,30 @@
 	return h.take(ctx, version)
 }
 
+// renew writes a lease that is held. After a write whose outcome is unknown
+// the version is not known either.
+func (h *Holder) renew(ctx context.Context, version uint64) error {
+	h.mu.Lock()
+	uncertain := !h.unresolved.IsZero()
+	h.mu.Unlock()
+	if !uncertain {
+		err := h.take(ctx, version)
+		if !errors.Is(err, ErrConflict) {
+			return err
+		}
+	}
+	rec, current, err := h.read(ctx)
+	if err != nil {
+		return err
+	}
+	if rec.Token != h.opts.Token {
+		h.forget()
+		return ErrHeld
+	}
+	h.confirm(current)
+	return h.take(ctx, current)
+}
+
 // Release gives the lease up, so that another process can take it at once.
 // Check fails from the start of the call, also if the write fails.
 func (h *Holder) Release(ctx context.Context) error {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,6 +1,6 @@
 // Package placement decides which layers of a model each instance holds. It
-// changes as little as it can: instances keep what they hold, and only empty
-// or redundant ones are moved. It performs no I/O.
+// changes as little as it can: instances keep what they hold, and one is moved
+// only if that mends a hole or is worth the load. It performs no I/O.
 package placement
 
 import (
@@ -13,15 +13,20 @@
 )
 
 const (
-	// primaryTokens is the number of tokens of KV cache that the fast
-	// instances keep free for each of their layers.
-	primaryTokens = 60_000
-	// backupTokens is the same for the slow instances, which hold second
-	// copies and take what the fast ones can't.
-	backupTokens = 30_000
 	// slowFactor is the step factor, relative to the fastest type, from which
 	// a type counts as slow.
 	slowFactor = 4
+	// fastTokensMin and fastTokensMax bound the KV cache in tokens that the
+	// fast instances keep free for each of their layers; tokensStep is the
+	// step between the sizes that are tried.
+	fastTokensMin = 50_000
+	fastTokensMax = 110_000
+	tokensStep    = 5_000
+	// slowTokens is the same for slow instances, which hold second copies.
+	slowTokens = 45_000
+	// scarceTokens is the least that an instance keeps free where layers
+	// would have no holder otherwise.
+	scarceTokens = 10_000
 )
 
 // Move is an order to an instance to hold layers.
@@ -41,23 +46,36 @@
 		if !ok {
 			break
 		}
-		p.apply(move)
+		p.hold(move.Instance.ID, move.Layers)
 		moves = append(moves, move)
 	}
+	if len(moves) == 0 && len(pending) == 0 {
+		if move, ok := p.improve(); ok {
+			moves = append(moves, move)
+		}
+	}
 	return moves
 }
 
+// Missing returns the layers that no instance holds or has been ordered to
+// hold.
+func Missing(m *routing.Model, instances []fleet.Instance, pending map[string]fleet.LayerRange) int {
+	return newPlan(m, instances, pending).missing()
+}
+
 type plan struct {
 	model *routing.Model
 	// instances are sorted, the fastest first.
 	instances []fleet.Instance
 	held      map[string]fleet.LayerRange
-	cover     []int
 	fastest   float64
+	// fastTokens and slowTokens are the KV cache that fast and slow instances
+	// keep free.
+	fastTokens, slowTokens float64
 }
 
 func newPlan(m *routing.Model, instances []fleet.Instance, pending map[string]fleet.LayerRange) *plan {
-	p := &plan{model: m, held: make(map[string]fleet.LayerRange), cover: make([]int, m.Layers)}
+	p := &plan{model: m, held: make(map[string]fleet.LayerRange)}
 	for _, in := range instances {
 		kind, ok := m.Accelerators[in.Accelerator]
 		if !ok {
@@ -67,15 +85,15 @@
 			p.fastest = kind.StepFactor
 		}
 		p.instances = append(p.instances, in)
-		layers := in.Layers
+		p.held[in.ID] = in.Layers
 		if ordered, ok := pending[in.ID]; ok {
-			layers = ordered
+			p.held[in.ID] = ordered
 		}
-		p.hold(in.ID, layers)
 	}
 	slices.SortFunc(p.instances, func(a, b fleet.Instance) int {
 		return cmp.Or(cmp.Compare(p.kind(a).StepFactor, p.kind(b).StepFactor), cmp.Compare(a.ID, b.ID))
 	})
+	p.chooseTokens()
 	return p
 }
 
@@ -83,100 +101,220 @@
 	return p.model.Accelerators[in.Accelerator]
 }
 
-// hold records that an instance holds layers in place of its former ones.
-func (p *plan) hold(id string, layers fleet.LayerRange) {
-	p.count(p.held[id], -1)
-	p.held[id] = layers
-	p.count(layers, 1)
-}
+func (p *plan) slow(in fleet.Instance) bool { return p.kind(in).StepFactor >= slowFactor*p.fastest }
+
+func (p *plan) hold(id string, layers fleet.LayerRange) { p.held[id] = layers }
 
-func (p *plan) count(r fleet.LayerRange, by int) {
-	for i := max(r.From, 0); i < min(r.To, len(p.cover)); i++ {
-		p.cover[i] += by
+// chooseTokens takes the largest KV cache with which the fast instances still
+// hold all layers among them, or, if they can't, all instances.
+func (p *plan) chooseTokens() {
+	p.slowTokens = slowTokens
+	for p.fastTokens = fastTokensMax; p.fastTokens >= fastTokensMin; p.fastTokens -= tokensStep {
+		if p.layersOf(false) >= p.model.Layers {
+			return
+		}
+	}
+	for ; p.fastTokens > scarceTokens; p.fastTokens -= tokensStep {
+		p.slowTokens = min(slowTokens, p.fastTokens)
+		if p.layersOf(false)+p.layersOf(true) >= p.model.Layers {
+			return
+		}
 	}
 }
 
-func (p *plan) apply(m Move) { p.hold(m.Instance.ID, m.Layers) }
+// layersOf returns how many layers the slow or the fast instances hold.
+func (p *plan) layersOf(slow bool) int {
+	layers := 0
+	for _, in := range p.instances {
+		if p.slow(in) == slow {
+			layers += p.size(in)
+		}
+	}
+	return layers
+}
 
-// size returns how many layers an instance holds so that its KV cache has
-// room for the tokens of its role.
+// size returns how many layers an instance holds.
 func (p *plan) size(in fleet.Instance) int {
-	kind := p.kind(in)
-	tokens := float64(primaryTokens)
-	if kind.StepFactor >= slowFactor*p.fastest {
-		tokens = backupTokens
+	if p.slow(in) {
+		return p.fit(in, p.slowTokens)
 	}
+	return p.fit(in, p.fastTokens)
+}
+
+// fit returns how many layers leave room for the KV cache of tokens.
+func (p *plan) fit(in fleet.Instance, tokens float64) int {
 	layers := 0
-	for layers < p.model.Layers && chain.Capacity(p.model, kind, layers+1) >= tokens*float64(layers+1) {
+	for layers < p.model.Layers && p.tokens(in, layers+1) >= tokens {
 		layers++
 	}
 	return layers
 }
 
-// next returns the next move: an empty instance takes the layers with the
-// least cover; if layers have no cover, a redundant instance takes them.
+// tokens returns the KV cache in tokens of an instance that holds layers.
+func (p *plan) tokens(in fleet.Instance, layers int) float64 {
+	return chain.Capacity(p.model, p.kind(in), layers) / float64(max(layers, 1))
+}
+
+// missing returns the number of layers without a holder.
+func (p *plan) missing() int {
+	missing := 0
+	for layer := range p.model.Layers {
+		if !slices.ContainsFunc(p.instances, func(in fleet.Instance) bool {
+			return p.held[in.ID].Contains(layer)
+		}) {
+			missing++
+		}
+	}
+	return missing
+}
+
+// next returns the next necessary move: an empty instance takes the layers
+// that need a copy most; if layers have no holder, the instance whose move
+// costs least takes them.
 func (p *plan) next() (Move, bool) {
 	for _, in := range p.instances {
 		if p.held[in.ID].Len() > 0 {
 			continue
 		}
-		if layers := p.window(p.size(in)); layers.Len() > 0 {
+		if layers, gain := p.best(in, p.size(in)); gain > 0 {
 			return Move{in, layers}, true
 		}
 	}
-	if !slices.Contains(p.cover, 0) {
+	before := p.missing()
+	if before == 0 {
 		return Move{}, false
 	}
+	for _, size := range []func(fleet.Instance) int{p.size, p.largest} {
+		if move, ok := p.mend(size, before); ok {
+			return move, true
+		}
+	}
+	return Move{}, false
+}
+
+// largest returns the most layers that an instance may hold.
+func (p *plan) largest(in fleet.Instance) int { return p.fit(in, scarceTokens) }
+
+// mend returns the move that leaves the fewest layers without a holder and is
+// worth most.
+func (p *plan) mend(size func(fleet.Instance) int, before int) (Move, bool) {
+	var best Move
+	bestMissing, bestGain := before, 0.0
 	for _, in := range p.instances {
-		if !p.redundant(p.held[in.ID]) {
+		old := p.held[in.ID]
+		layers, gain := p.best(in, size(in))
+		p.hold(in.ID, layers)
+		missing := p.missing()
+		p.hold(in.ID, old)
+		if missing < bestMissing || missing == bestMissing && missing < before && gain > bestGain {
+			best, bestMissing, bestGain = Move{in, layers}, missing, gain
+		}
+	}
+	return best, bestMissing < before
+}
+
+// worthwhile is the least gain for which an instance is moved though no layer
+// lacks a holder: about what second copies of a tenth of the layers are worth.
+const worthwhile = 4
+
+// improve returns the move that gains most, if no layer loses its only holder
+// while the instance loads.
+func (p *plan) improve() (Move, bool) {
+	var best Move
+	bestGain := float64(worthwhile)
+	for _, in := range p.instances {
+		old := p.held[in.ID]
+		p.hold(in.ID, fleet.LayerRange{})
+		complete := p.missing() == 0
+		p.hold(in.ID, old)
+		if !complete {
 			continue
 		}
-		if layers := p.window(p.size(in)); layers.Len() > 0 {
-			return Move{in, layers}, true
+		if layers, gain := p.best(in, p.size(in)); gain > bestGain {
+			best, bestGain = Move{in, layers}, gain
 		}
 	}
-	return Move{}, false
+	return best, bestGain > worthwhile
 }
 
-// redundant reports whether other instances cover all layers of a range.
-func (p *plan) redundant(r fleet.LayerRange) bool {
-	for i := max(r.From, 0); i < min(r.To, len(p.cover)); i++ {
-		if p.cover[i] < 2 {
-			return false
+// best returns the range of a length that is worth most for an instance in
+// place of what it holds, and what the placement gains by it. Of equal ranges
+// the lowest is taken.
+func (p *plan) best(in fleet.Instance, length int) (fleet.LayerRange, float64) {
+	length = min(length, p.model.Layers)
+	if length <= 0 {
+		return fleet.LayerRange{}, 0
+	}
+	old := p.held[in.ID]
+	p.hold(in.ID, fleet.LayerRange{})
+	layers := p.layerCapacity()
+	p.hold(in.ID, old)
+	own := p.weight(in) * p.tokens(in, length)
+	oldOwn := p.weight(in) * p.tokens(in, old.Len())
+	gains := make([]float64, len(layers)+1)
+	loss := 0.0
+	for i, c := range layers {
+		gains[i+1] = gains[i] + c.with(own).worth() - c.worth()
+		if old.Contains(i) {
+			loss += c.with(oldOwn).worth() - c.worth()
+		}
+	}
+	best, bestGain := fleet.LayerRange{}, 0.0
+	for from := 0; from+length <= len(layers); from++ {
+		const tie = 1e-9
+		if gain := gains[from+length] - gains[from] - loss; best.Len() == 0 || gain > bestGain+tie {
+			best, bestGain = fleet.LayerRange{From: from, To: from + length}, gain
 		}
 	}
-	return true
+	return best, bestGain
 }
 
-// need returns how much a further copy of a layer is worth: the first copies
-// outweigh everything else.
-func need(cover int) int {
-	switch cover {
-	case 0:
-		return 10_000
-	case 1:
-		return 100
-	case 2:
-		return 1
+// weight discounts the KV cache of slow instances: their requests stay longer.
+func (p *plan) weight(in fleet.Instance) float64 {
+	const slowWeight = 0.5
+	if p.slow(in) {
+		return slowWeight
 	}
-	return 0
+	return 1
 }
 
-// window returns the range of the given length whose layers need a copy most,
-// the lowest of several. It is cut to the layers that need one as much as its
-// first, so that ranges join without overlap.
-func (p *plan) window(length int) fleet.LayerRange {
-	length = min(length, len(p.cover))
-	best, bestWorth := fleet.LayerRange{}, 0
-	for from := 0; from < len(p.cover); from++ {
-		to := min(from+length, len(p.cover))
-		worth := 0
-		for _, c := range p.cover[from:to] {
-			worth += need(c)
-		}
-		if worth > bestWorth {
-			best, bestWorth = fleet.LayerRange{From: from, To: to}, worth
+// capacity is the KV cache for one layer, in tokens: of all its holders, and
+// of the largest of them.
+type capacity struct{ total, largest float64 }
+
+func (c capacity) with(tokens float64) capacity {
+	return capacity{c.total + tokens, max(c.largest, tokens)}
+}
+
+// worth values the capacity for a layer as it is and after the loss of its
+// largest holder. It grows ever more slowly, so that scarce layers come first.
+func (c capacity) worth() float64 {
+	const (
+		// afterLoss is the weight of the state after a loss.
+		afterLoss = 0.1
+		// noHolder bounds the worth of the first copy, noSecond that of the
+		// second one.
+		noHolder = 0.05
+		noSecond = 0.3
+	)
+	return usefulness(c.total, noHolder) + afterLoss*usefulness(c.total-c.largest, noSecond)
+}
+
+func usefulness(tokens, offset float64) float64 {
+	// scale is a capacity with which a domain serves part of its load.
+	const scale = 30_000
+	return -1 / (tokens/scale + offset)
+}
+
+// layerCapacity returns the capacity for each layer.
+func (p *plan) layerCapacity() []capacity {
+	layers := make([]capacity, p.model.Layers)
+	for _, in := range p.instances {
+		held := p.held[in.ID]
+		own := p.weight(in) * p.tokens(in, held.Len())
+		for i := max(held.From, 0); i < min(held.To, len(layers)); i++ {
+			layers[i] = layers[i].with(own)
 		}
 	}
-	return best
+	return layers
 }
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,144 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/routing"
+)
+
+func testModel() *routing.Model {
+	return &routing.Model{
+		Layers: 80, LayerMB: 1750, TokenLayerBytes: 11_475,
+		Accelerators: map[string]routing.Accelerator{
+			"large":  {Name: "large", MemoryMB: 72_000, StepFactor: 2.4},
+			"medium": {Name: "medium", MemoryMB: 43_200, StepFactor: 5.6},
+			"small":  {Name: "small", MemoryMB: 21_600, StepFactor: 16},
+		},
+	}
+}
+
+// instances returns empty instances of the given types.
+func instances(counts map[string]int) []fleet.Instance {
+	var list []fleet.Instance
+	for kind, count := range counts {
+		for i := range count {
+			list = append(list, fleet.Instance{ID: fmt.Sprintf("%s-%d", kind, i), Accelerator: kind})
+		}
+	}
+	return list
+}
+
+// carryOut returns the instances after the moves.
+func carryOut(list []fleet.Instance, moves []Move) []fleet.Instance {
+	var next []fleet.Instance
+	for _, in := range list {
+		for _, m := range moves {
+			if m.Instance.ID == in.ID {
+				in.Layers = m.Layers
+			}
+		}
+		next = append(next, in)
+	}
+	return next
+}
+
+// settle plans until nothing is left to do and returns the number of moves.
+func settle(t *testing.T, m *routing.Model, list []fleet.Instance) ([]fleet.Instance, int) {
+	t.Helper()
+	count := 0
+	for range 20 {
+		moves := Plan(m, list, nil)
+		if len(moves) == 0 {
+			return list, count
+		}
+		count += len(moves)
+		list = carryOut(list, moves)
+	}
+	t.Fatal("the placement does not come to rest")
+	return nil, 0
+}
+
+func without(list []fleet.Instance, id string) []fleet.Instance {
+	var kept []fleet.Instance
+	for _, in := range list {
+		if in.ID != id {
+			kept = append(kept, in)
+		}
+	}
+	return kept
+}
+
+func overloaded(m *routing.Model, in fleet.Instance) bool {
+	return float64(in.Layers.Len())*m.LayerMB > m.Accelerators[in.Accelerator].MemoryMB
+}
+
+var deployments = []map[string]int{
+	{"large": 1, "medium": 3, "small": 8},
+	{"large": 1, "medium": 6, "small": 5},
+	{"large": 2, "medium": 2, "small": 5},
+	{"large": 2, "medium": 9, "small": 13},
+	{"small": 9},
+	{"medium": 4},
+}
+
+// Guards against layers without a holder, instances that hold more than their
+// memory, and a placement that never comes to rest.
+func TestPlanCoversAllLayers(t *testing.T) {
+	m := testModel()
+	for _, counts := range deployments {
+		list, _ := settle(t, m, instances(counts))
+		assert.Equal(t, Missing(m, list, nil), 0, "%v", counts)
+		for _, in := range list {
+			assert.Assert(t, !overloaded(m, in), "%v: %v", counts, in)
+		}
+	}
+}
+
+// Guards against a hole that stays after the loss of any one instance though
+// others could take its layers, and against a mend that moves many instances.
+func TestPlanMendsTheLossOfOneInstance(t *testing.T) {
+	m := testModel()
+	for _, counts := range deployments[:4] {
+		list, _ := settle(t, m, instances(counts))
+		for _, lost := range list {
+			rest := without(list, lost.ID)
+			mended, moves := settle(t, m, rest)
+			assert.Equal(t, Missing(m, mended, nil), 0, "%v without %s", counts, lost.ID)
+			assert.Assert(t, moves <= 6, "%v without %s: %d moves", counts, lost.ID, moves)
+		}
+	}
+}
+
+// Guards against layers that only slow instances hold while fast ones hold
+// others twice: the domain then serves far less than it could.
+func TestPlanMovesADuplicateToScarceLayers(t *testing.T) {
+	m := testModel()
+	hold := func(id, kind string, from, to int) fleet.Instance {
+		return fleet.Instance{ID: id, Accelerator: kind, Layers: fleet.LayerRange{From: from, To: to}}
+	}
+	list := []fleet.Instance{
+		hold("large-0", "large", 0, 23), hold("medium-0", "medium", 23, 37), hold("medium-1", "medium", 23, 37),
+		hold("medium-3", "medium", 51, 65), hold("medium-4", "medium", 65, 79), hold("medium-5", "medium", 66, 80),
+		hold("small-0", "small", 0, 9), hold("small-1", "small", 9, 18), hold("small-2", "small", 37, 46),
+		hold("small-3", "small", 46, 55), hold("small-4", "small", 55, 64),
+	}
+	moves := Plan(m, list, nil)
+	assert.Equal(t, len(moves), 1)
+	assert.Equal(t, moves[0].Instance.Accelerator, "medium")
+	assert.Assert(t, moves[0].Layers.Contains(40) && moves[0].Layers.Contains(48), "%v", moves[0])
+}
+
+// Guards against a second order to an instance that is still loading.
+func TestPlanCountsPendingOrders(t *testing.T) {
+	m := testModel()
+	list := instances(deployments[0])
+	pending := make(map[string]fleet.LayerRange)
+	for _, move := range Plan(m, list, nil) {
+		pending[move.Instance.ID] = move.Layers
+	}
+	assert.Equal(t, len(Plan(m, list, pending)), 0)
+}
