gateway: Retry refused orders at once and bound the wait for room

Change: an order that was refused is not pending, instances that load are not moved, and a prompt waits for room at most 0.6 of its latency objective.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// maxWaitGenerative is the longest wait for room: clients leave a stream
-	// without an event after two seconds.
-	maxWaitGenerative = 1200 * time.Millisecond
+	// maxWaitShare is the part of the latency objective that a prompt may wait
+	// for room. The rest is needed to read it: longer queues would only make
+	// every answer late.
+	maxWaitShare = 0.6
 	// maxWaitPlainShare is the part of the time left that a plain request may
 	// wait.
 	maxWaitPlainShare = 0.3
@@ -192,7 +193,7 @@
 	left := time.Until(c.deadline)
 	wait := time.Duration(float64(left) * maxWaitPlainShare)
 	if c.service.Model != nil {
-		wait = min(maxWaitGenerative, left)
+		wait = min(time.Duration(maxWaitShare*float64(c.route.Objective)), left)
 	}
 	return c.g.admission.Acquire(c.context(), c.service, c.demand(), c.urgency, wait)
 }
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/events"
@@ -14,7 +14,9 @@
 
 const (
 	// placeInterval is the pause between two looks at the placement.
-	placeInterval = 500 * time.Millisecond
+	placeInterval = 250 * time.Millisecond
+	// resultBacklog is the number of outcomes of orders that may wait.
+	resultBacklog = 256
 	// settleTime is how long the list of instances has to stand still before
 	// the first orders of an empty deployment.
 	settleTime = 1500 * time.Millisecond
@@ -37,11 +39,20 @@
 	lease   Lease
 	leading bool
 	pending map[string]pendingOrder
-	// mu guards begun, which orders in progress change.
-	mu    sync.Mutex
+	results chan orderResult
+	// begun counts the orders of each instance.
 	begun map[string]begunOrders
 }
 
+// orderResult is the outcome of one order.
+type orderResult struct {
+	move placement.Move
+	// before is the number of orders that the instance had begun, or
+	// unknownOrders.
+	before int64
+	err    error
+}
+
 // begunOrders is the number of orders that an instance has begun since its
 // start at startedMS.
 type begunOrders struct {
@@ -57,7 +68,11 @@
 }
 
 func newPlacer(g *Gateway, lease Lease) *placer {
-	return &placer{g: g, lease: lease, pending: make(map[string]pendingOrder), begun: make(map[string]begunOrders)}
+	return &placer{
+		g: g, lease: lease,
+		pending: make(map[string]pendingOrder), begun: make(map[string]begunOrders),
+		results: make(chan orderResult, resultBacklog),
+	}
 }
 
 // run looks at the placement until ctx ends.
@@ -69,6 +84,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case r := <-p.results:
+			p.ordered(r)
+			continue
 		}
 		now := time.Now()
 		if p.leads(now) && !p.g.stale() {
@@ -154,7 +172,7 @@
 		p.pending[move.Instance.ID] = pendingOrder{
 			layers: move.Layers, started: move.Instance.StartedMS, until: now.Add(2*load + orderPatience),
 		}
-		go p.order(ctx, move)
+		go p.order(ctx, move, p.begunBy(move.Instance))
 	}
 	if missing := placement.Missing(s.Model, instances, p.held(instances)); missing > 0 {
 		p.g.log.LogLimited(events.LayersMissing).Str("service", s.Name).Int("missing", missing).
@@ -173,52 +191,56 @@
 	return ordered
 }
 
-// order sends one order. Its outcome is seen in what the instance reports.
-func (p *placer) order(ctx context.Context, move placement.Move) {
+// order sends one order. Whether it is carried out is seen in what the
+// instance reports.
+func (p *placer) order(ctx context.Context, move placement.Move, before int64) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	count, err := p.begunBy(ctx, move.Instance)
+	var err error
+	if before == unknownOrders {
+		var report Report
+		report, err = p.g.engines.Report(ctx, move.Instance.Address)
+		before = report.Orders
+	}
 	if err == nil {
-		err = p.g.engines.Place(ctx, move.Instance, move.Layers, count)
-		p.ordered(move.Instance, count, err)
+		err = p.g.engines.Place(ctx, move.Instance, move.Layers, before)
 	}
-	e := events.LayersOrdered
-	if err != nil {
-		e = events.LayersOrderFailed
+	select {
+	case p.results <- orderResult{move, before, err}:
+	case <-ctx.Done():
 	}
-	p.g.log.Log(e).Str("instance", move.Instance.ID).Str("failure_domain", move.Instance.Domain).
-		Int("from", move.Layers.From).Int("to", move.Layers.To).Int64("orders", count).Err(err).Send()
 }
 
+// unknownOrders stands for a number of orders that must be asked for.
+const unknownOrders = -1
+
 // begunBy returns how many orders an instance has begun. An instance that
 // holds nothing and was not ordered before has begun none.
-func (p *placer) begunBy(ctx context.Context, in fleet.Instance) (int64, error) {
-	p.mu.Lock()
+func (p *placer) begunBy(in fleet.Instance) int64 {
 	known, ok := p.begun[in.ID]
-	p.mu.Unlock()
 	switch {
-	case ok && known.startedMS == in.StartedMS && known.count >= 0:
-		return known.count, nil
+	case ok && known.startedMS == in.StartedMS:
+		return known.count
 	case !ok && in.Layers.Len() == 0:
-		return 0, nil
+		return 0
 	}
-	report, err := p.g.engines.Report(ctx, in.Address)
-	return report.Orders, err
+	return unknownOrders
 }
 
-// unknownOrders stands for a number of orders that must be asked for.
-const unknownOrders = -1
-
 // ordered notes the outcome of an order. After a failure the number of begun
-// orders is not known.
-func (p *placer) ordered(in fleet.Instance, before int64, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	count := before + 1
-	if err != nil {
-		count = unknownOrders
+// orders is not known; an order that was refused is not pending either.
+func (p *placer) ordered(r orderResult) {
+	in := r.move.Instance
+	e, count := events.LayersOrdered, r.before+1
+	if r.err != nil {
+		e, count = events.LayersOrderFailed, unknownOrders
+	}
+	if errors.Is(r.err, ErrOrderRefused) {
+		delete(p.pending, in.ID)
 	}
 	p.begun[in.ID] = begunOrders{in.StartedMS, count}
+	p.g.log.Log(e).Str("instance", in.ID).Str("failure_domain", in.Domain).
+		Int("from", r.move.Layers.From).Int("to", r.move.Layers.To).Int64("orders", r.before).Err(r.err).Send()
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -90,6 +91,10 @@
 	Own(h http.Header, id string)
 }
 
+// ErrOrderRefused means that an instance did not accept an order and will not
+// carry it out.
+var ErrOrderRefused = errors.New("gateway: order refused")
+
 // Report is what a model engine says of itself.
 type Report struct {
 	// Stalled are the requests that wait for another instance, by request id,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -50,6 +50,7 @@
 		moves = append(moves, move)
 	}
 	if len(moves) == 0 && len(pending) == 0 {
+		// One improvement at a time: each takes an instance out of service.
 		if move, ok := p.improve(); ok {
 			moves = append(moves, move)
 		}
@@ -68,14 +69,16 @@
 	// instances are sorted, the fastest first.
 	instances []fleet.Instance
 	held      map[string]fleet.LayerRange
-	fastest   float64
+	// loading are the instances with an order in progress; they refuse others.
+	loading map[string]fleet.LayerRange
+	fastest float64
 	// fastTokens and slowTokens are the KV cache that fast and slow instances
 	// keep free.
 	fastTokens, slowTokens float64
 }
 
 func newPlan(m *routing.Model, instances []fleet.Instance, pending map[string]fleet.LayerRange) *plan {
-	p := &plan{model: m, held: make(map[string]fleet.LayerRange)}
+	p := &plan{model: m, held: make(map[string]fleet.LayerRange), loading: pending}
 	for _, in := range instances {
 		kind, ok := m.Accelerators[in.Accelerator]
 		if !ok {
@@ -192,6 +195,11 @@
 	return Move{}, false
 }
 
+func (p *plan) isLoading(in fleet.Instance) bool {
+	_, loading := p.loading[in.ID]
+	return loading
+}
+
 // largest returns the most layers that an instance may hold.
 func (p *plan) largest(in fleet.Instance) int { return p.fit(in, scarceTokens) }
 
@@ -201,6 +209,9 @@
 	var best Move
 	bestMissing, bestGain := before, 0.0
 	for _, in := range p.instances {
+		if p.isLoading(in) {
+			continue
+		}
 		old := p.held[in.ID]
 		layers, gain := p.best(in, size(in))
 		p.hold(in.ID, layers)
