gateway: Charge half of the expected output and use 0.97 of the KV cache

Cause: at overload the reserved memory bound admission while engines never preempted a request.

Change: outputShare 0.75 -> 0.5, memoryShare 0.9 -> 0.97.

--- a/internal/chain/ledger.go
+++ b/internal/chain/ledger.go
@@ -10,7 +10,7 @@
 
 // memoryShare is the part of an instance's KV cache that is given out; the
 // rest absorbs responses that grow longer than expected.
-const memoryShare = 0.9
+const memoryShare = 0.97
 
 // account is the work of one instance as this process knows it.
 type account struct {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -209,7 +209,7 @@
 
 // outputShare is the part of the expected output that a request is charged
 // for: its memory grows from nothing to the whole while it runs.
-const outputShare = 0.75
+const outputShare = 0.5
 
 // tokens returns the KV cache in tokens that the request will need.
 func (c *call) tokens() int {
