gateway: Keep serving through a planned stop and move streams by detours

Cause: a stopping gateway closed its listener after three seconds, so that clients of a failure domain whose gateways stop in turn found no connection; a failed order counted as pending for eight seconds; streams cut by a lost instance were read again from the start or refused like new ones.

Change: the listener stays open until the work is done or the grace time ends; only streams that can't end in time are refused, after three seconds. Orders that failed are asked about or repeated. A running stream goes around a lost instance by a new path, waits longer for room and goes first. Engines are asked how slow they are when streams are silent, and paths avoid slow ones.

--- a/internal/chain/ledger.go
+++ b/internal/chain/ledger.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +17,10 @@
 type account struct {
 	tokenLayers float64
 	requests    int
-	// slowness is the factor by which the instance is slower than its type.
+	// slowness is the factor by which the instance was slower than its type
+	// at slowAt.
 	slowness float64
+	slowAt   time.Time
 	// avoidUntil is the time until which the instance gets no new work.
 	avoidUntil time.Time
 	failures   int
@@ -63,6 +66,9 @@
 	if a := l.accounts[id]; a != nil {
 		sum = *a
 	}
+	if now.Sub(sum.slowAt) > slownessAge {
+		sum.slowness = 1
+	}
 	for _, p := range l.peers {
 		if now.Sub(p.at) > peerWorkAge {
 			continue
@@ -114,9 +120,10 @@
 	best, exists := never, false
 	for _, domain := range domains(view, s.Name) {
 		list := without(l.candidates(view, s, domain, now), d.Avoid)
-		path, cost, ok := shortest(list, s.Model.Layers, float64(d.Tokens))
+		all := fleet.LayerRange{To: s.Model.Layers}
+		path, cost, ok := shortest(list, all, float64(d.Tokens))
 		if !ok {
-			_, _, possible := shortest(list, s.Model.Layers, 0)
+			_, _, possible := shortest(list, all, 0)
 			exists = exists || possible
 			continue
 		}
@@ -143,27 +150,18 @@
 	}
 	kept := list[:0]
 	for _, c := range list {
-		if !contains(avoid, c.ID) {
+		if !slices.Contains(avoid, c.ID) {
 			kept = append(kept, c)
 		}
 	}
 	return kept
 }
 
-func contains(list []string, id string) bool {
-	for _, s := range list {
-		if s == id {
-			return true
-		}
-	}
-	return false
-}
-
 // domains returns the failure domains of a service's instances.
 func domains(view *fleet.View, service string) []string {
 	var list []string
 	for _, in := range view.Instances {
-		if in.Service == service && !contains(list, in.Domain) {
+		if in.Service == service && !slices.Contains(list, in.Domain) {
 			list = append(list, in.Domain)
 		}
 	}
@@ -183,6 +181,10 @@
 func (l *Ledger) Release(g Grant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.release(g)
+}
+
+func (l *Ledger) release(g Grant) {
 	for _, part := range g.Path {
 		a := l.entry(part.Instance)
 		a.tokenLayers -= g.tokens * float64(part.To-part.From)
@@ -190,12 +192,30 @@
 	}
 }
 
-// Move replaces the path of a grant that goes on, without checking for room.
-func (l *Ledger) Move(g Grant, p Path) Grant {
-	l.Release(g)
+// Detour replaces the part of a grant that an instance runs by others of the
+// same failure domain, and charges them. It returns false if there are none, or
+// if the instance runs the first part, which can't be replaced.
+func (l *Ledger) Detour(view *fleet.View, s *routing.Service, g Grant, lost string, now time.Time) (Grant, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.charge(p, g.tokens)
+	at := slices.IndexFunc(g.Path, func(p Part) bool { return p.Instance == lost })
+	if at <= 0 {
+		return g, false
+	}
+	domain := view.Instances[g.Path[0].Instance].Domain
+	used := []string{lost}
+	for _, part := range g.Path {
+		used = append(used, part.Instance)
+	}
+	list := without(l.candidates(view, s, domain, now), used)
+	gap := fleet.LayerRange{From: g.Path[at].From, To: g.Path[at].To}
+	detour, _, ok := shortest(list, gap, g.tokens)
+	if !ok || len(g.Path)+len(detour) > maxParts {
+		return g, false
+	}
+	path := slices.Concat(g.Path[:at], detour, g.Path[at+1:])
+	l.release(g)
+	return l.charge(path, g.tokens), true
 }
 
 // foreignDomainLoad is how many requests of difference make an instance of
@@ -208,7 +228,7 @@
 	bestLoad := 0
 	full := false
 	for _, in := range view.Instances {
-		if in.Service != s.Name || in.Draining || contains(d.Avoid, in.ID) {
+		if in.Service != s.Name || in.Draining || slices.Contains(d.Avoid, in.ID) {
 			continue
 		}
 		a := l.account(in.ID, now)
@@ -272,6 +292,70 @@
 	l.entry(id).atFault = true
 }
 
+const (
+	// slownessAge is how long a measured slowness counts, slownessRenew the
+	// age from which it is measured again.
+	slownessAge   = 5 * time.Second
+	slownessRenew = 2 * time.Second
+)
+
+// SlowInstances returns the instances whose slowness is to be measured again.
+func (l *Ledger) SlowInstances(now time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []string
+	for id, a := range l.accounts {
+		if age := now.Sub(a.slowAt); a.slowness > 1 && age > slownessRenew && age < slownessAge {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Faster reports whether another path would serve a demand in less than half
+// the time for each token that the path of a grant takes.
+func (l *Ledger) Faster(view *fleet.View, s *routing.Service, d Demand, g Grant, now time.Time) bool {
+	other, err := l.Choose(view, s, d, now)
+	if err != nil {
+		return false
+	}
+	l.Release(other)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return 2*l.stepTime(view, s, other.Path, now) < l.stepTime(view, s, g.Path, now)
+}
+
+// stepTime returns the time of a token step over a path, with the load that
+// its instances have.
+func (l *Ledger) stepTime(view *fleet.View, s *routing.Service, p Path, now time.Time) time.Duration {
+	var sum time.Duration
+	for _, part := range p {
+		kind := s.Model.Accelerators[view.Instances[part.Instance].Accelerator]
+		sum += hopTime + time.Duration(part.To-part.From)*l.layerTime(s.Model, kind, l.account(part.Instance, now))
+	}
+	return sum
+}
+
+// Slow records how much slower than its type an instance is.
+func (l *Ledger) Slow(id string, factor float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	a.slowness, a.slowAt = factor, now
+}
+
+// Slowness returns the factor by which an instance is slower than its type,
+// and whether that was measured recently.
+func (l *Ledger) Slowness(id string, now time.Time) (float64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[id]
+	if a == nil || now.Sub(a.slowAt) > slownessAge {
+		return 1, false
+	}
+	return max(a.slowness, 1), true
+}
+
 // Succeeded records a complete answer.
 func (l *Ledger) Succeeded(id string) {
 	l.mu.Lock()
--- a/internal/chain/path.go
+++ b/internal/chain/path.go
@@ -109,13 +109,13 @@
 	from  int
 }
 
-// shortest returns the fastest path over all layers with room for tokens, and
-// its time for each token step. It is a shortest-path search over the layers
-// at which a range of some candidate begins or ends.
-func shortest(list []candidate, layers int, tokens float64) (Path, time.Duration, bool) {
+// shortest returns the fastest path over a range of layers with room for
+// tokens, and its time for each token step. It is a shortest-path search over
+// the layers at which a range of some candidate begins or ends.
+func shortest(list []candidate, layers fleet.LayerRange, tokens float64) (Path, time.Duration, bool) {
 	bounds := boundaries(list, layers)
 	best := make(map[int]node, len(bounds))
-	best[0] = node{via: -1}
+	best[layers.From] = node{via: -1}
 	for _, at := range bounds {
 		from, reached := best[at]
 		if !reached || from.parts >= maxParts {
@@ -137,7 +137,7 @@
 			}
 		}
 	}
-	end, ok := best[layers]
+	end, ok := best[layers.To]
 	if !ok {
 		return nil, 0, false
 	}
@@ -154,9 +154,9 @@
 	return false
 }
 
-func backtrack(best map[int]node, list []candidate, layers int) Path {
+func backtrack(best map[int]node, list []candidate, layers fleet.LayerRange) Path {
 	var path Path
-	for at := layers; at > 0; at = best[at].from {
+	for at := layers.To; at > layers.From; at = best[at].from {
 		n := best[at]
 		c := list[n.via]
 		path = append(path, Part{c.ID, c.Address, n.from, at})
@@ -166,10 +166,11 @@
 }
 
 // boundaries returns the layers at which ranges begin or end, in order.
-func boundaries(list []candidate, layers int) []int {
-	bounds := []int{0, layers}
+func boundaries(list []candidate, layers fleet.LayerRange) []int {
+	inside := func(layer int) int { return min(max(layer, layers.From), layers.To) }
+	bounds := []int{layers.From, layers.To}
 	for _, c := range list {
-		bounds = append(bounds, min(max(c.Layers.From, 0), layers), min(c.Layers.To, layers))
+		bounds = append(bounds, inside(c.Layers.From), inside(c.Layers.To))
 	}
 	slices.Sort(bounds)
 	return slices.Compact(bounds)
--- a/internal/chain/peers.go
+++ b/internal/chain/peers.go
@@ -16,6 +16,21 @@
 	Remaining time.Duration
 }
 
+// Slowness is an instance that is slower than its type.
+type Slowness struct {
+	Instance string
+	Factor   float64
+	// Age is how long ago that was measured.
+	Age time.Duration
+}
+
+// Report is what one gateway tells the others.
+type Report struct {
+	Loads  []Load
+	Faults []Fault
+	Slow   []Slowness
+}
+
 // peerWorkAge is how long the report of another gateway counts.
 const peerWorkAge = time.Second
 
@@ -26,45 +41,52 @@
 	loads map[string]Load
 }
 
-// Own returns the work that this process has given to instances, and the
-// instances at fault.
-func (l *Ledger) Own(now time.Time) ([]Load, []Fault) {
+// Own returns the report of this process.
+func (l *Ledger) Own(now time.Time) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var loads []Load
-	var faults []Fault
+	var r Report
 	for id, a := range l.accounts {
 		if a.requests > 0 {
-			loads = append(loads, Load{id, a.tokenLayers, a.requests})
+			r.Loads = append(r.Loads, Load{id, a.tokenLayers, a.requests})
 		}
 		if a.atFault && now.Before(a.avoidUntil) {
-			faults = append(faults, Fault{id, a.avoidUntil.Sub(now)})
+			r.Faults = append(r.Faults, Fault{id, a.avoidUntil.Sub(now)})
+		}
+		if age := now.Sub(a.slowAt); a.slowness > 1 && age < slownessAge {
+			r.Slow = append(r.Slow, Slowness{id, a.slowness, age})
 		}
 	}
-	return loads, faults
+	return r
 }
 
 // SetPeer installs one part of a report of another gateway. The parts of a
 // round add up; an older round is ignored unless the peer has started anew.
-func (l *Ledger) SetPeer(peer string, round uint64, part int, loads []Load, faults []Fault, now time.Time) {
+func (l *Ledger) SetPeer(peer string, round uint64, r Report, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peers[peer]
 	if p == nil || round > p.round || now.Sub(p.at) > peerWorkAge {
-		p = &peerWork{round: round, loads: make(map[string]Load, len(loads))}
+		p = &peerWork{round: round, loads: make(map[string]Load, len(r.Loads))}
 		l.peers[peer] = p
 	}
 	if round < p.round {
 		return
 	}
 	p.at = now
-	for _, load := range loads {
+	for _, load := range r.Loads {
 		p.loads[load.Instance] = load
 	}
-	for _, f := range faults {
+	for _, f := range r.Faults {
 		a := l.entry(f.Instance)
 		if until := now.Add(min(f.Remaining, avoidMax)); until.After(a.avoidUntil) {
 			a.avoidUntil = until
 		}
 	}
+	for _, s := range r.Slow {
+		a := l.entry(s.Instance)
+		if at := now.Add(-s.Age); at.After(a.slowAt) {
+			a.slowness, a.slowAt = s.Factor, at
+		}
+	}
 }
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -18,6 +18,9 @@
 	StreamCut = define(1804, "stream-cut", zerolog.ErrorLevel,
 		"A stream ended before it was complete; the client's connection was closed.",
 		"Read the reason; look for repeated lines of the same request.")
+	StreamDetour = define(1806, "stream-detour", zerolog.InfoLevel,
+		"A running stream passes through other instances in place of one at fault; an error means that the "+
+			"instance did not accept the new path and that the stream starts anew elsewhere.", noAction)
 	ClientGone = define(1805, "client-gone", zerolog.InfoLevel,
 		"The client left before its request was answered; the work was cancelled.", noAction)
 	StoreLost = define(1810, "store-lost", zerolog.WarnLevel,
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -53,9 +53,11 @@
 }
 
 // Acquire returns instances for a demand, after waiting for at most maxWait.
-// Its errors are those of chain.Ledger.Choose and of ctx.
+// Unless it is patient, it fails at once if no instances could serve the
+// demand even without load. Its errors are those of chain.Ledger.Choose and of ctx.
 func (a *admission) Acquire(
 	ctx context.Context, s *routing.Service, d chain.Demand, urgency int, maxWait time.Duration,
+	patient bool,
 ) (chain.Grant, error) {
 	w := a.enqueue(s, d, urgency)
 	a.dispatch()
@@ -66,7 +68,7 @@
 		return g, nil
 	default:
 	}
-	if a.hopeless(w) {
+	if !patient && a.hopeless(w) {
 		return a.leave(w)
 	}
 	select {
@@ -195,7 +197,26 @@
 	if c.service.Model != nil {
 		wait = min(time.Duration(maxWaitShare*float64(c.route.Objective)), left)
 	}
-	return c.g.admission.Acquire(c.context(), c.service, c.demand(), c.urgency, wait)
+	return c.g.admission.Acquire(c.context(), c.service, c.demand(), c.urgency, wait, false)
+}
+
+const (
+	// continueUrgency puts streams that have begun before all others.
+	continueUrgency = -1
+	// continueLimit is the time since the last event within which a stream
+	// must get instances to go on; the client leaves after two seconds.
+	continueLimit = 1700 * time.Millisecond
+)
+
+// admit waits for instances for a stream.
+func (s *stream) admit() (chain.Grant, error) {
+	if s.events == 0 {
+		return s.call.admit()
+	}
+	started := time.Now()
+	defer func() { s.waited += time.Since(started) }()
+	wait := min(time.Until(s.lastSent.Add(continueLimit)), time.Until(s.deadline))
+	return s.g.admission.Acquire(s.context(), s.service, s.demand(), continueUrgency, wait, true)
 }
 
 // demand describes what the call needs.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -58,13 +58,17 @@
 	c := &call{g: g, w: w, r: r, in: g.protocol.Inbound(r.Header), started: time.Now()}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.draining.Load() {
+	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	defer c.finish()
 	if !c.resolve() || !c.readBody() {
 		return
 	}
+	if !c.endsInTime() {
+		c.refuse("this gateway stops", drainReturn)
+		return
+	}
 	g.budget.Request(c.service.Name, c.started)
 	if c.route.Kind == routing.Streaming {
 		c.serveStream()
--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -6,50 +6,54 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
 )
 
 const (
 	// reportTimeout bounds the question to the first instance of a path.
 	reportTimeout = 250 * time.Millisecond
-	// reportAge is how long an answer serves other streams of the instance.
-	reportAge = 200 * time.Millisecond
+	// reportAge is how long an answer about stalled requests serves other
+	// streams, slownessAge how long one about slowness does.
+	reportAge   = 200 * time.Millisecond
+	slownessAge = time.Second
 )
 
-// faultFinder finds the instance that a silent stream waits for by asking the
-// first instance of its path. Streams of one instance share the answers.
+// faultFinder finds the cause of a silent stream by asking the instances of
+// its path. Streams share the answers.
 type faultFinder struct {
 	engines Engines
 	ledger  *chain.Ledger
 
 	mu      sync.Mutex
-	reports map[string]*stallReport
+	answers map[string]*engineAnswer
 }
 
-type stallReport struct {
+// engineAnswer is the latest answer of one instance, or the question to it.
+type engineAnswer struct {
 	done chan struct{}
 	at   time.Time
-	// stalled is the address at fault by request id, err the failure to ask.
-	stalled map[string]string
-	err     error
+	// report and err may be read when done is closed.
+	report Report
+	err    error
 }
 
 func newFaultFinder(e Engines, l *chain.Ledger) *faultFinder {
-	return &faultFinder{engines: e, ledger: l, reports: make(map[string]*stallReport)}
+	return &faultFinder{engines: e, ledger: l, answers: make(map[string]*engineAnswer)}
 }
 
 // Locate returns the instance that keeps the request from going on, "" if none
 // does. Instances at fault get no new work for a while.
 func (f *faultFinder) Locate(ctx context.Context, p chain.Path, id string, now time.Time) (string, error) {
 	first := p.First()
-	report := f.report(ctx, first.Address, now)
-	if report.err != nil {
+	answer := f.ask(ctx, first.Address, now, reportAge)
+	if answer.err != nil {
 		if ctx.Err() != nil {
 			return "", ctx.Err()
 		}
 		f.ledger.Failed(first.Instance, now)
 		return first.Instance, nil
 	}
-	address, waits := report.stalled[id]
+	address, waits := answer.report.Stalled[id]
 	if !waits {
 		return "", nil
 	}
@@ -62,31 +66,68 @@
 	return "", nil
 }
 
-// report returns a recent answer of the instance or asks it.
-func (f *faultFinder) report(ctx context.Context, address string, now time.Time) *stallReport {
+// SlowPart asks the instances of a path how slow they are, unless that is
+// known, and returns the slowest with its factor.
+func (f *faultFinder) SlowPart(ctx context.Context, p chain.Path, now time.Time) (string, float64) {
+	var wait sync.WaitGroup
+	for _, part := range p {
+		if _, known := f.ledger.Slowness(part.Instance, now); known {
+			continue
+		}
+		wait.Go(func() {
+			if answer := f.ask(ctx, part.Address, now, slownessAge); answer.err == nil {
+				f.ledger.Slow(part.Instance, answer.report.Slowness, now)
+			}
+		})
+	}
+	wait.Wait()
+	slowest, worst := "", 1.0
+	for _, part := range p {
+		if factor, _ := f.ledger.Slowness(part.Instance, now); factor > worst {
+			slowest, worst = part.Instance, factor
+		}
+	}
+	return slowest, worst
+}
+
+// Remeasure asks the instances that were slow again, so that they are neither
+// avoided longer than necessary nor used because a measurement grew old.
+func (f *faultFinder) Remeasure(ctx context.Context, view *fleet.View, now time.Time) {
+	for _, id := range f.ledger.SlowInstances(now) {
+		in, known := view.Instances[id]
+		if !known {
+			continue
+		}
+		if answer := f.ask(ctx, in.Address, now, slownessAge); answer.err == nil {
+			f.ledger.Slow(id, answer.report.Slowness, now)
+		}
+	}
+}
+
+// ask returns an answer of the instance that is not older than age.
+func (f *faultFinder) ask(ctx context.Context, address string, now time.Time, age time.Duration) *engineAnswer {
 	f.mu.Lock()
-	r := f.reports[address]
-	if r == nil || now.Sub(r.at) > reportAge {
-		r = &stallReport{done: make(chan struct{}), at: now}
-		f.reports[address] = r
+	a := f.answers[address]
+	if a == nil || now.Sub(a.at) > age {
+		a = &engineAnswer{done: make(chan struct{}), at: now}
+		f.answers[address] = a
 		f.mu.Unlock()
-		f.ask(ctx, address, r)
-		return r
+		f.call(ctx, address, a)
+		return a
 	}
 	f.mu.Unlock()
 	select {
-	case <-r.done:
+	case <-a.done:
 	case <-ctx.Done():
-		return &stallReport{err: ctx.Err()}
+		return &engineAnswer{err: ctx.Err()}
 	}
-	return r
+	return a
 }
 
-func (f *faultFinder) ask(ctx context.Context, address string, r *stallReport) {
+func (f *faultFinder) call(ctx context.Context, address string, a *engineAnswer) {
 	// The answer serves other streams too, so it must not end with this one.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	defer cancel()
-	report, err := f.engines.Report(ctx, address)
-	r.stalled, r.err = report.Stalled, err
-	close(r.done)
+	a.report, a.err = f.engines.Report(ctx, address)
+	close(a.done)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,7 +59,8 @@
 	gossip    *gossip.Exchange
 
 	inFlight atomic.Int64
-	draining atomic.Bool
+	// stopAt is when a planned stop ends, in Unix nanoseconds; 0 if none began.
+	stopAt atomic.Int64
 
 	mu sync.Mutex
 	// configSeen is when the store last confirmed the configuration.
@@ -113,11 +114,6 @@
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes bounds a client's headers.
 	maxHeaderBytes = 16 << 10
-	// drainDelay is how long clients may come after the gateway has become
-	// unready: the load balancer takes it out after two failed questions.
-	drainDelay = 3 * time.Second
-	// drainMargin is the part of the grace time that is left for the exit.
-	drainMargin = 400 * time.Millisecond
 )
 
 // stale reports whether the configuration may be outdated.
@@ -136,7 +132,7 @@
 
 // ready reports whether the gateway takes clients.
 func (g *Gateway) ready() bool {
-	if g.draining.Load() {
+	if g.draining() {
 		return false
 	}
 	g.mu.Lock()
@@ -220,22 +216,6 @@
 	group.Go(func() error { return process.Serve(process.NewServer(mux), l, nil) })
 }
 
-// drain makes the gateway unready, waits until clients come elsewhere, and
-// finishes the requests in progress.
-func (g *Gateway) drain(server *http.Server) error {
-	g.draining.Store(true)
-	limit := g.settings.DrainTimeout - drainMargin
-	ctx, cancel := context.WithTimeout(context.Background(), max(limit, 0))
-	defer cancel()
-	timer := time.NewTimer(min(drainDelay, limit))
-	defer timer.Stop()
-	<-timer.C
-	if err := server.Shutdown(ctx); err != nil {
-		return process.ErrDrainTimeout
-	}
-	return nil
-}
-
 // sweep closes unused connections and forgets what is gone.
 func (g *Gateway) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
@@ -247,7 +227,9 @@
 		case now := <-ticker.C:
 			g.pool.Sweep(now)
 			g.directory.Expire(now)
-			g.ledger.Forget(g.directory.View())
+			view := g.directory.View()
+			g.ledger.Forget(view)
+			g.faults.Remeasure(ctx, view, now)
 			g.metrics.inFlight.Update(float64(g.inFlight.Load()))
 		}
 	}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -22,6 +22,12 @@
 	settleTime = 1500 * time.Millisecond
 	// orderTimeout bounds one order.
 	orderTimeout = time.Second
+	// uncertainTime is how long an order without an answer counts as held.
+	// After it the instance is asked.
+	uncertainTime = 1500 * time.Millisecond
+	// refusalPause is how long an instance that refused an order is left
+	// alone: it may still be carrying out another one.
+	refusalPause = time.Second
 	// orderPatience is how long an ordered range counts as held before it is
 	// reported, beside the time to load it.
 	orderPatience = 5 * time.Second
@@ -65,6 +71,8 @@
 	layers  fleet.LayerRange
 	started int64
 	until   time.Time
+	// refused orders only keep the instance from being ordered again.
+	refused bool
 }
 
 func newPlacer(g *Gateway, lease Lease) *placer {
@@ -135,7 +143,8 @@
 func (p *placer) settle(view *fleet.View, now time.Time) {
 	for id, o := range p.pending {
 		in, known := view.Instances[id]
-		if !known || in.StartedMS != o.started || in.Layers == o.layers || now.After(o.until) {
+		done := in.Layers == o.layers && !o.refused
+		if !known || in.StartedMS != o.started || done || now.After(o.until) {
 			delete(p.pending, id)
 		}
 	}
@@ -201,6 +210,9 @@
 		var report Report
 		report, err = p.g.engines.Report(ctx, move.Instance.Address)
 		before = report.Orders
+		if err != nil {
+			err = errors.Join(errNotOrdered, err)
+		}
 	}
 	if err == nil {
 		err = p.g.engines.Place(ctx, move.Instance, move.Layers, before)
@@ -211,6 +223,9 @@
 	}
 }
 
+// errNotOrdered means that an order was not sent.
+var errNotOrdered = errors.New("gateway: order not sent")
+
 // unknownOrders stands for a number of orders that must be asked for.
 const unknownOrders = -1
 
@@ -235,8 +250,18 @@
 	if r.err != nil {
 		e, count = events.LayersOrderFailed, unknownOrders
 	}
-	if errors.Is(r.err, ErrOrderRefused) {
-		delete(p.pending, in.ID)
+	now := time.Now()
+	switch {
+	case r.err == nil:
+	case errors.Is(r.err, ErrOrderRefused), errors.Is(r.err, errNotOrdered):
+		p.pending[in.ID] = pendingOrder{
+			layers: in.Layers, started: in.StartedMS, until: now.Add(refusalPause),
+			refused: true,
+		}
+	default:
+		p.pending[in.ID] = pendingOrder{
+			layers: r.move.Layers, started: in.StartedMS, until: now.Add(uncertainTime),
+		}
 	}
 	p.begun[in.ID] = begunOrders{in.StartedMS, count}
 	p.g.log.Log(e).Str("instance", in.ID).Str("failure_domain", in.Domain).
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -40,14 +41,16 @@
 	control *http.ResponseController
 	// lastEvent is the id of the last event sent to the client.
 	lastEvent string
-	grant     chain.Grant
+	// lastSent is when that was.
+	lastSent time.Time
+	grant    chain.Grant
 }
 
 // serveStream forwards a stream, over several instances if some fail.
 func (c *call) serveStream() {
 	s := &stream{call: c, control: http.NewResponseController(c.w), lastEvent: c.in.LastEvent}
 	for {
-		grant, err := c.admit()
+		grant, err := s.admit()
 		if err != nil {
 			s.unadmitted(err)
 			return
@@ -185,6 +188,7 @@
 		s.g.metrics.firstEvent(time.Since(s.started))
 	}
 	s.events++
+	s.lastSent = time.Now()
 	if id != "" {
 		s.lastEvent = id
 	}
@@ -197,14 +201,55 @@
 		return errMoved
 	}
 	fault, err := s.g.faults.Locate(s.context(), s.grant.Path, s.in.ID, time.Now())
-	if err != nil || fault == "" {
+	if err != nil {
 		return nil
 	}
+	if fault == "" {
+		return s.afterSlowness(waited)
+	}
 	s.avoid = append(s.avoid, fault)
 	s.line(events.StreamStalled).Str("fault", fault).Dur("silent_ms", waited).Int("events", s.events).Send()
+	if s.detour(fault) {
+		return nil
+	}
 	return errMoved
 }
 
+// slowFactor is the slowness of an instance from which streams are moved away
+// from it.
+const slowFactor = 3
+
+// afterSlowness moves a stream that waits for a slow instance if others can
+// take it.
+func (s *stream) afterSlowness(waited time.Duration) error {
+	now := time.Now()
+	slow, factor := s.g.faults.SlowPart(s.context(), s.grant.Path, now)
+	if factor < slowFactor || !s.g.ledger.Faster(s.g.directory.View(), s.service, s.demand(), s.grant, now) {
+		return nil
+	}
+	s.line(events.StreamStalled).Str("slow", slow).Float64("slowness", factor).Dur("silent_ms", waited).
+		Int("events", s.events).Send()
+	return errMoved
+}
+
+// orderTimeoutRepath bounds the order that changes the path of a stream.
+const orderTimeoutRepath = 300 * time.Millisecond
+
+// detour keeps a stream where it is and replaces the part that an instance at
+// fault runs. The other instances keep what they have computed.
+func (s *stream) detour(fault string) bool {
+	g, ok := s.g.ledger.Detour(s.g.directory.View(), s.service, s.grant, fault, time.Now())
+	if !ok {
+		return false
+	}
+	s.grant, s.lastPath = g, g.Path
+	ctx, cancel := context.WithTimeout(s.context(), orderTimeoutRepath)
+	defer cancel()
+	err := s.g.engines.Repath(ctx, g.Path.First().Address, s.in.ID, g.Path)
+	s.line(events.StreamDetour).Str("path", formatPath(g.Path)).Err(err).Send()
+	return err == nil
+}
+
 // elsewhere reports whether instances other than the first of the path could
 // take the stream, and keeps it away from that one. Sent to the same path again
 // it would only lose its place.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -44,16 +44,17 @@
 	Gone bool
 }
 
-// message is one datagram. A report with many loads takes several, which are
-// applied one by one.
+// message is one datagram. A report with many loads takes several, which add
+// up.
 type message struct {
 	From string `cbor:"1,keyasint"`
-	// Round numbers the report, Part its datagrams from 0.
+	// Round numbers the report.
 	Round uint64 `cbor:"2,keyasint"`
-	Part  int    `cbor:"3,keyasint"`
-	Loads []load `cbor:"4,keyasint,omitempty"`
+	Loads []load `cbor:"3,keyasint,omitempty"`
 	// Faults are instances at fault with the time for which they are avoided.
-	Faults []fault `cbor:"5,keyasint,omitempty"`
+	Faults []fault `cbor:"4,keyasint,omitempty"`
+	// Slow are instances that are slower than their type.
+	Slow []slowness `cbor:"5,keyasint,omitempty"`
 }
 
 type load struct {
@@ -69,6 +70,14 @@
 	RemainingMS uint32
 }
 
+type slowness struct {
+	_        struct{} `cbor:",toarray"`
+	Instance string
+	// Percent is 100 for an instance as fast as its type.
+	Percent uint32
+	AgeMS   uint32
+}
+
 // Exchange sends and receives reports.
 type Exchange struct {
 	name   string
@@ -185,17 +194,24 @@
 
 // encode returns the datagrams of a report.
 func (x *Exchange) encode(round uint64, now time.Time) [][]byte {
-	loads, faults := x.ledger.Own(now)
+	r := x.ledger.Own(now)
 	m := message{From: x.name, Round: round}
-	for _, f := range faults {
+	for _, f := range r.Faults {
 		m.Faults = append(m.Faults, fault{Instance: f.Instance, RemainingMS: uint32(f.Remaining.Milliseconds())})
 	}
+	for _, s := range r.Slow {
+		m.Slow = append(m.Slow, slowness{
+			Instance: s.Instance, Percent: uint32(s.Factor * percent), AgeMS: uint32(s.Age.Milliseconds()),
+		})
+	}
 	var datagrams [][]byte
+	loads := r.Loads
 	for {
 		count := min(len(loads), loadsPerDatagram)
 		for _, l := range loads[:count] {
-			m.Loads = append(m.Loads, load{Instance: l.Instance, TokenLayers: uint64(max(l.TokenLayers, 0)),
-				Requests: uint32(max(l.Requests, 0))})
+			m.Loads = append(m.Loads, load{
+				Instance: l.Instance, TokenLayers: uint64(max(l.TokenLayers, 0)), Requests: uint32(max(l.Requests, 0)),
+			})
 		}
 		if data, err := cbor.Marshal(m); err == nil {
 			datagrams = append(datagrams, data)
@@ -204,10 +220,12 @@
 		if len(loads) == 0 {
 			return datagrams
 		}
-		m = message{From: x.name, Round: round, Part: m.Part + 1}
+		m = message{From: x.name, Round: round}
 	}
 }
 
+const percent = 100
+
 // receive applies one datagram. What can't be decoded is dropped: it comes
 // from something else.
 func (x *Exchange) receive(data []byte, now time.Time) {
@@ -218,17 +236,25 @@
 	x.mu.Lock()
 	x.heard[m.From] = now
 	x.mu.Unlock()
-	loads := make([]chain.Load, 0, len(m.Loads))
+	x.ledger.SetPeer(m.From, m.Round, m.report(), now)
+}
+
+func (m message) report() chain.Report {
+	var r chain.Report
 	for _, l := range m.Loads {
-		loads = append(loads, chain.Load{
+		r.Loads = append(r.Loads, chain.Load{
 			Instance: l.Instance, TokenLayers: float64(l.TokenLayers), Requests: int(l.Requests),
 		})
 	}
-	faults := make([]chain.Fault, 0, len(m.Faults))
 	for _, f := range m.Faults {
-		faults = append(faults, chain.Fault{
+		r.Faults = append(r.Faults, chain.Fault{
 			Instance: f.Instance, Remaining: time.Duration(f.RemainingMS) * time.Millisecond,
 		})
 	}
-	x.ledger.SetPeer(m.From, m.Round, m.Part, loads, faults, now)
+	for _, s := range m.Slow {
+		r.Slow = append(r.Slow, chain.Slowness{
+			Instance: s.Instance, Factor: float64(s.Percent) / percent, Age: time.Duration(s.AgeMS) * time.Millisecond,
+		})
+	}
+	return r
 }
