gateway: Count attempts by the instances that may have run a request

A move was counted only after the third had been chosen.

Change: a call keeps the instances that may have run it; those still in the registry count against max_attempts, and a stream is moved only if one is left. Refused clients come back over a quarter of their time.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -252,25 +252,27 @@
 func (c *call) refuseUnadmitted(err error) {
 	switch {
 	case c.ended():
-	case c.runs > 0 && !c.route.Repeatable():
+	case len(c.ran) > 0 && !c.route.Repeatable():
 		c.fail(http.StatusBadGateway, err.Error())
-	case c.runs > 0 && c.expired():
+	case len(c.ran) > 0 && c.expired():
 		c.fail(http.StatusGatewayTimeout, err.Error())
-	case c.runs > 0:
+	case len(c.ran) > 0:
 		c.fail(http.StatusBadGateway, "no other instance: "+err.Error())
 	default:
-		c.refuse(err.Error(), c.g.returnAfter())
+		c.refuse(err.Error(), c.returnAfter())
 	}
 }
 
 const (
-	// returnMin and returnSpread are the times after which refused clients
-	// come back: spread, so that they do not come together.
-	returnMin    = 800 * time.Millisecond
-	returnSpread = 1200 * time.Millisecond
+	// Refused clients come back between returnEarliest and returnLatest of the
+	// time that they have left, so that they do not come together and find the
+	// capacity that returns meanwhile. Clients honour up to a third.
+	returnEarliest = 0.05
+	returnLatest   = 0.3
 )
 
-// returnAfter returns a time after which a refused client may come back.
-func (g *Gateway) returnAfter() time.Duration {
-	return returnMin + time.Duration(rand.Int64N(int64(returnSpread)))
+// returnAfter returns a time after which the client may come back.
+func (c *call) returnAfter() time.Duration {
+	share := returnEarliest + (returnLatest-returnEarliest)*rand.Float64()
+	return time.Duration(share * float64(time.Until(c.deadline)))
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,9 +32,10 @@
 	deadline time.Time
 	// avoid lists the instances that failed or refused this request.
 	avoid []string
-	// runs counts the instances that may have run the request, sends those
-	// that it was sent to.
-	runs, sends int
+	// ran lists the instances that may have run the request, sends counts
+	// those that it was sent to.
+	ran   []string
+	sends int
 	// events counts the events of a stream that the client got.
 	events int
 	// answered is the status sent to the client, 0 before.
@@ -216,7 +218,31 @@
 // mayRepeat reports whether a request that may have run may be sent again, and
 // takes it from the retry budget.
 func (c *call) mayRepeat() bool {
-	return c.route.Repeatable() && c.runs < c.route.MaxAttempts && c.mayResend()
+	return c.attemptsLeft() && c.mayResend()
+}
+
+// attemptsLeft reports whether the route allows another instance to run the
+// request. Instances that are gone do not count; one that only seems lost may
+// still be at work.
+func (c *call) attemptsLeft() bool {
+	if !c.route.Repeatable() {
+		return false
+	}
+	view := c.g.directory.View()
+	attempts := 0
+	for _, id := range c.ran {
+		if _, known := view.Instances[id]; known {
+			attempts++
+		}
+	}
+	return attempts < c.route.MaxAttempts
+}
+
+// mayHaveRun notes that an instance may have run the request.
+func (c *call) mayHaveRun(instance string) {
+	if !slices.Contains(c.ran, instance) {
+		c.ran = append(c.ran, instance)
+	}
 }
 
 // mayResend reports whether a request that surely has not run may be sent
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -35,7 +35,7 @@
 		return
 	}
 	c.line(events.RequestDone).Int("events", c.events).Int("status", c.answered).Dur("waited_ms", c.waited).
-		Str("path", formatPath(c.lastPath)).Int("runs", c.runs).Send()
+		Str("path", formatPath(c.lastPath)).Strs("ran", c.ran).Send()
 }
 
 // formatPath returns a path as INSTANCE:FROM-TO, separated by spaces.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -70,7 +70,7 @@
 	}
 	x.Finish()
 	if x.Response.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() {
-		c.runs++
+		c.mayHaveRun(first.Instance)
 		c.avoid = append(c.avoid, first.Instance)
 		c.g.ledger.Failed(first.Instance, time.Now())
 		if c.mayRepeat() {
@@ -111,7 +111,7 @@
 	if c.route.Repeatable() {
 		o.MaxIdle = idleForRepeatable
 	}
-	if c.route.Kind == routing.Idempotent && c.runs+1 < c.route.MaxAttempts && c.route.Objective > 0 {
+	if c.route.Kind == routing.Idempotent && len(c.ran)+1 < c.route.MaxAttempts && c.route.Objective > 0 {
 		o.StallAfter = silenceFactor * c.route.Objective
 		o.OnStall = func(time.Duration) error { return errSilent }
 	}
@@ -132,7 +132,7 @@
 	}
 	unsent := errors.Is(err, backend.ErrNotSent)
 	if !unsent {
-		c.runs++
+		c.mayHaveRun(first.Instance)
 	}
 	if !c.expired() || unsent {
 		c.g.ledger.Failed(first.Instance, time.Now())
@@ -143,8 +143,8 @@
 		return true
 	}
 	switch {
-	case unsent && c.runs == 0:
-		c.refuse("no instance can be reached: "+err.Error(), c.g.returnAfter())
+	case unsent && len(c.ran) == 0:
+		c.refuse("no instance can be reached: "+err.Error(), c.returnAfter())
 	case c.expired():
 		c.fail(http.StatusGatewayTimeout, "no response in time")
 	default:
@@ -168,11 +168,11 @@
 		c.line(events.RequestRepeated).Str("instance", culprit).Int("status", status).Bool("not_run", true).Send()
 		return true
 	}
-	if c.runs > 0 && !c.route.Repeatable() {
+	if len(c.ran) > 0 && !c.route.Repeatable() {
 		c.fail(http.StatusBadGateway, "refused after an attempt that may have run")
 		return false
 	}
-	c.refuse("instances refuse the request", c.g.returnAfter())
+	c.refuse("instances refuse the request", c.returnAfter())
 	return false
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -124,7 +124,7 @@
 		return s.afterEnd(first, errors.Join(backend.ErrBroken, err))
 	}
 	x.Finish()
-	s.runs++
+	s.mayHaveRun(first.Instance)
 	s.avoid = append(s.avoid, first.Instance)
 	if x.Response.StatusCode >= http.StatusInternalServerError && s.mayRepeat() {
 		return true
@@ -197,7 +197,7 @@
 
 // stalled is called while a stream is silent. An error moves the stream.
 func (s *stream) stalled(waited time.Duration) error {
-	if waited >= stallLimit && s.elsewhere() {
+	if waited >= stallLimit && s.attemptsLeftAfter(s.grant.Path.First().Instance) && s.elsewhere() {
 		return errMoved
 	}
 	fault, err := s.g.faults.Locate(s.context(), s.grant.Path, s.in.ID, time.Now())
@@ -209,12 +209,19 @@
 	}
 	s.avoid = append(s.avoid, fault)
 	s.line(events.StreamStalled).Str("fault", fault).Dur("silent_ms", waited).Int("events", s.events).Send()
-	if s.detour(fault) {
+	if s.detour(fault) || !s.attemptsLeftAfter(s.grant.Path.First().Instance) {
 		return nil
 	}
 	return errMoved
 }
 
+// attemptsLeftAfter reports whether the stream may still move after the
+// present instance has counted as an attempt.
+func (s *stream) attemptsLeftAfter(instance string) bool {
+	s.mayHaveRun(instance)
+	return s.attemptsLeft()
+}
+
 // slowFactor is the slowness of an instance from which streams are moved away
 // from it.
 const slowFactor = 3
@@ -224,7 +231,8 @@
 func (s *stream) afterSlowness(waited time.Duration) error {
 	now := time.Now()
 	slow, factor := s.g.faults.SlowPart(s.context(), s.grant.Path, now)
-	if factor < slowFactor || !s.g.ledger.Faster(s.g.directory.View(), s.service, s.demand(), s.grant, now) {
+	if factor < slowFactor || !s.attemptsLeftAfter(s.grant.Path.First().Instance) ||
+		!s.g.ledger.Faster(s.g.directory.View(), s.service, s.demand(), s.grant, now) {
 		return nil
 	}
 	s.line(events.StreamStalled).Str("slow", slow).Float64("slowness", factor).Dur("silent_ms", waited).
@@ -275,10 +283,9 @@
 		s.avoid = append(s.avoid, first.Instance)
 	}
 	if !unsent {
-		s.runs++
+		s.mayHaveRun(first.Instance)
 	}
-	repeat := unsent && s.mayResend() || !unsent && s.mayContinue()
-	if repeat {
+	if unsent && s.mayResend() || !unsent && s.mayRepeat() {
 		s.line(events.RequestRepeated).Str("instance", first.Instance).Err(err).Int("events", s.events).Send()
 		return true
 	}
@@ -287,20 +294,14 @@
 		s.cut(err.Error())
 	case s.expired():
 		s.fail(http.StatusGatewayTimeout, "no response in time")
-	case s.runs == 0:
-		s.refuse("no instance can be reached", s.g.returnAfter())
+	case len(s.ran) == 0:
+		s.refuse("no instance can be reached", s.returnAfter())
 	default:
 		s.fail(http.StatusBadGateway, "response broken: "+err.Error())
 	}
 	return false
 }
 
-// mayContinue reports whether a stream that has begun may go on elsewhere. An
-// instance that is lost doesn't count as an attempt.
-func (s *stream) mayContinue() bool {
-	return s.route.Repeatable() && s.mayResend()
-}
-
 // afterNotRun handles a refusal.
 func (s *stream) afterNotRun(first chain.Part, reply Reply, status int) bool {
 	if s.answered == 0 {
