--- a/internal/chain/ledger.go
+++ b/internal/chain/ledger.go
@@ -24,9 +24,11 @@
 	// avoidUntil is the time until which the instance gets no new work.
 	avoidUntil time.Time
 	failures   int
-	// atFault is true if an engine named the instance as the one that it
-	// waits for; peers are told of it.
-	atFault bool
+	// unreachable counts the connections in a row that failed.
+	unreachable int
+	// lostUntil is the time until which the instance counts as lost; peers
+	// are told of it.
+	lostUntil time.Time
 }
 
 // Ledger keeps account of the work that this process has given to instances.
@@ -284,12 +286,33 @@
 	a.failures++
 }
 
-// AtFault records that an engine waits for an instance in vain.
+const (
+	// lostTime is how long an instance counts as lost after the evidence.
+	lostTime = 1500 * time.Millisecond
+	// lostConnections is the number of failed connections in a row after
+	// which an instance counts as lost.
+	lostConnections = 3
+)
+
+// AtFault records that an engine waits for an instance in vain: it counts as
+// lost.
 func (l *Ledger) AtFault(id string, now time.Time) {
 	l.Failed(id, now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entry(id).atFault = true
+	l.entry(id).lostUntil = now.Add(lostTime)
+}
+
+// Unreachable records that no connection to an instance could be made.
+func (l *Ledger) Unreachable(id string, now time.Time) {
+	l.Failed(id, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	a.unreachable++
+	if a.unreachable >= lostConnections {
+		a.lostUntil = now.Add(lostTime)
+	}
 }
 
 const (
@@ -361,9 +384,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.entry(id)
-	a.failures = 0
-	a.avoidUntil = time.Time{}
-	a.atFault = false
+	a.failures, a.unreachable = 0, 0
+	a.avoidUntil, a.lostUntil = time.Time{}, time.Time{}
 }
 
 // Forget drops the accounts of instances that are not in the view and have no
@@ -378,17 +400,12 @@
 	}
 }
 
-// lostFailures is the number of failures in a row after which an instance
-// counts as lost.
-const lostFailures = 2
-
-// Lost reports whether an instance is avoided and was named as the one at
-// fault, or failed repeatedly.
+// Lost reports whether there is evidence that an instance is lost.
 func (l *Ledger) Lost(id string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accounts[id]
-	return a != nil && now.Before(a.avoidUntil) && (a.atFault || a.failures >= lostFailures)
+	return a != nil && now.Before(a.lostUntil)
 }
 
 // Avoided reports whether the instance gets no new work.
--- a/internal/chain/peers.go
+++ b/internal/chain/peers.go
@@ -9,8 +9,7 @@
 	Requests    int
 }
 
-// Fault is an instance that an engine waits for in vain, and how long it is
-// still avoided.
+// Fault is an instance that counts as lost, and for how long.
 type Fault struct {
 	Instance  string
 	Remaining time.Duration
@@ -50,8 +49,8 @@
 		if a.requests > 0 {
 			r.Loads = append(r.Loads, Load{id, a.tokenLayers, a.requests})
 		}
-		if a.atFault && now.Before(a.avoidUntil) {
-			r.Faults = append(r.Faults, Fault{id, a.avoidUntil.Sub(now)})
+		if now.Before(a.lostUntil) {
+			r.Faults = append(r.Faults, Fault{id, a.lostUntil.Sub(now)})
 		}
 		if age := now.Sub(a.slowAt); a.slowness > 1 && age < slownessAge {
 			r.Slow = append(r.Slow, Slowness{id, a.slowness, age})
@@ -79,7 +78,11 @@
 	}
 	for _, f := range r.Faults {
 		a := l.entry(f.Instance)
-		if until := now.Add(min(f.Remaining, avoidMax)); until.After(a.avoidUntil) {
+		until := now.Add(min(f.Remaining, lostTime))
+		if until.After(a.lostUntil) {
+			a.lostUntil = until
+		}
+		if until.After(a.avoidUntil) {
 			a.avoidUntil = until
 		}
 	}
--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -50,7 +50,7 @@
 		if ctx.Err() != nil {
 			return "", ctx.Err()
 		}
-		f.ledger.Failed(first.Instance, now)
+		f.ledger.Unreachable(first.Instance, now)
 		return first.Instance, nil
 	}
 	address, waits := answer.report.Stalled[id]
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -134,7 +134,10 @@
 	if !unsent {
 		c.mayHaveRun(first.Instance)
 	}
-	if !c.expired() || unsent {
+	switch {
+	case unsent:
+		c.g.ledger.Unreachable(first.Instance, time.Now())
+	case !c.expired():
 		c.g.ledger.Failed(first.Instance, time.Now())
 	}
 	c.avoid = append(c.avoid, first.Instance)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -278,8 +278,14 @@
 		return false
 	}
 	unsent := errors.Is(err, backend.ErrNotSent)
-	if !errors.Is(err, errMoved) {
+	switch {
+	case errors.Is(err, errMoved):
+	case unsent:
+		s.g.ledger.Unreachable(first.Instance, time.Now())
+	default:
 		s.g.ledger.Failed(first.Instance, time.Now())
+	}
+	if !errors.Is(err, errMoved) {
 		s.avoid = append(s.avoid, first.Instance)
 	}
 	if !unsent {
