--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -303,11 +303,11 @@
 // lacks a holder: about what second copies of a tenth of the layers are worth.
 const worthwhile = 4
 
-// improve returns the move that gains most, if no layer loses its only holder
-// while the instance loads.
+// improve returns the move that gains most for its time, if no layer loses its
+// only holder while the instance loads.
 func (p *plan) improve() (Move, bool) {
 	var best Move
-	bestGain := float64(worthwhile)
+	bestRate := 0.0
 	for _, in := range p.instances {
 		old := p.held[in.ID]
 		p.hold(in.ID, fleet.LayerRange{})
@@ -316,11 +316,15 @@
 		if !complete {
 			continue
 		}
-		if layers, gain := p.best(in, p.size(in)); gain > bestGain {
-			best, bestGain = Move{in, layers}, gain
+		layers, gain := p.best(in, p.size(in))
+		if gain <= worthwhile {
+			continue
+		}
+		if rate := gain / (1 + p.moveTime(in, layers).Seconds()); rate > bestRate {
+			best, bestRate = Move{in, layers}, rate
 		}
 	}
-	return best, bestGain > worthwhile
+	return best, bestRate > 0
 }
 
 // best returns the range of a length that is worth most for an instance in
