gateway: Test rules, connections and decoders on their own

Cause: routing, directory, paths, feeds, reports between gateways, exchanges with instances, admission and the decoders of the adapter had no tests of their own.

--- /dev/null
+++ b/internal/chain/chain_test.go
@@ -0,0 +1,221 @@
+package chain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/routing"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func service() *routing.Service {
+	return &routing.Service{Name: "m", Model: &routing.Model{
+		Layers: 80, LayerMB: 1750, TokenLayerBytes: 11_475, StepTime: time.Millisecond,
+		StepTimePerSequence: 20 * time.Microsecond,
+		Accelerators: map[string]routing.Accelerator{
+			"large":  {Name: "large", MemoryMB: 72_000, StepFactor: 2.4},
+			"medium": {Name: "medium", MemoryMB: 43_200, StepFactor: 5.6},
+			"small":  {Name: "small", MemoryMB: 21_600, StepFactor: 16},
+		},
+	}}
+}
+
+type holder struct {
+	id, kind, domain string
+	from, to         int
+}
+
+func view(holders ...holder) *fleet.View {
+	instances := make(map[string]fleet.Instance)
+	for _, h := range holders {
+		instances[h.id] = fleet.Instance{
+			ID: h.id, Service: "m", Address: h.id + ":1", Domain: h.domain, Accelerator: h.kind, Slots: 100,
+			Layers: fleet.LayerRange{From: h.from, To: h.to},
+		}
+	}
+	return &fleet.View{Instances: instances}
+}
+
+var twoChains = []holder{
+	{"a1", "large", "a", 0, 29}, {"a2", "medium", "a", 29, 46}, {"a3", "medium", "a", 46, 63},
+	{"a4", "medium", "a", 63, 80}, {"a5", "small", "a", 46, 55}, {"a6", "small", "a", 55, 63},
+	{"b1", "large", "b", 0, 29}, {"b2", "medium", "b", 29, 46}, {"b3", "medium", "b", 46, 63},
+	{"b4", "medium", "b", 63, 80},
+}
+
+// covers checks that a path runs each layer once and in order, on instances
+// that hold them, none twice.
+func covers(v *fleet.View, p Path, layers int) error {
+	at, seen := 0, map[string]bool{}
+	for _, part := range p {
+		held := v.Instances[part.Instance].Layers
+		switch {
+		case part.From != at || part.To <= part.From:
+			return fmt.Errorf("part %v does not follow layer %d", part, at)
+		case part.From < held.From || part.To > held.To:
+			return fmt.Errorf("part %v is not held: %v", part, held)
+		case seen[part.Instance]:
+			return fmt.Errorf("%s stands twice", part.Instance)
+		}
+		at, seen[part.Instance] = part.To, true
+	}
+	if at != layers {
+		return fmt.Errorf("the path ends at layer %d", at)
+	}
+	return nil
+}
+
+// Guards against paths that leave out, repeat or reorder layers, whatever the
+// instances hold.
+func TestPathsRunEachLayerOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var holders []holder
+		for i := range rapid.IntRange(0, 14).Draw(rt, "instances") {
+			from := rapid.IntRange(0, 79).Draw(rt, "from")
+			holders = append(holders, holder{
+				id: fmt.Sprint(i), kind: rapid.SampledFrom([]string{"large", "medium", "small"}).Draw(rt, "kind"),
+				domain: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "domain"),
+				from:   from, to: rapid.IntRange(from+1, 80).Draw(rt, "to"),
+			})
+		}
+		v, l := view(holders...), NewLedger()
+		g, err := l.Choose(v, service(), Demand{Tokens: 500, Domain: "a"}, start)
+		if err != nil {
+			return
+		}
+		if err := covers(v, g.Path, 80); err != nil {
+			rt.Fatal(err)
+		}
+		if lost := g.Path[len(g.Path)-1].Instance; len(g.Path) > 1 {
+			if g, ok := l.Detour(v, service(), g, lost, start); ok {
+				if err := covers(v, g.Path, 80); err != nil || g.Path.Uses(lost) {
+					rt.Fatalf("detour %v: %v", g.Path, err)
+				}
+			}
+		}
+	})
+}
+
+// Guards against requests that leave their failure domain without need, and
+// against ones that fail though another domain could serve them.
+func TestChooseDomain(t *testing.T) {
+	v, l := view(twoChains...), NewLedger()
+	g, err := l.Choose(v, service(), Demand{Tokens: 900, Domain: "b"}, start)
+	assert.NilError(t, err)
+	assert.Equal(t, g.Path.First().Instance, "b1")
+	l.AtFault("b1", start)
+	g, err = l.Choose(v, service(), Demand{Tokens: 900, Domain: "b"}, start)
+	assert.NilError(t, err)
+	assert.Equal(t, g.Path.First().Instance, "a1")
+}
+
+// Guards against memory that is given out twice, by this process or by others,
+// and against memory that is not returned.
+func TestRoomIsShared(t *testing.T) {
+	v, s := view(twoChains[:4]...), service()
+	fill := func(l *Ledger) (grants []Grant) {
+		for {
+			g, err := l.Choose(v, s, Demand{Tokens: 5000, Domain: "a"}, start)
+			if err != nil {
+				assert.ErrorIs(t, err, ErrFull)
+				return grants
+			}
+			grants = append(grants, g)
+		}
+	}
+	l := NewLedger()
+	grants := fill(l)
+	room := Capacity(s.Model, s.Model.Accelerators["medium"], 17) / 17
+	assert.Equal(t, len(grants), int(memoryShare*min(room, Capacity(s.Model, s.Model.Accelerators["large"], 29)/29)/5000))
+	other := NewLedger()
+	other.SetPeer("peer", 1, l.Own(start), start)
+	_, err := other.Choose(v, s, Demand{Tokens: 5000, Domain: "a"}, start)
+	assert.ErrorIs(t, err, ErrFull)
+	_, err = other.Choose(v, s, Demand{Tokens: 5000, Domain: "a"}, start.Add(2*peerWorkAge))
+	assert.NilError(t, err)
+	for _, g := range grants {
+		l.Release(g)
+	}
+	assert.Equal(t, len(fill(l)), len(grants))
+}
+
+// Guards against a request that waits for room though none of the instances
+// that it needs exist.
+func TestMissingLayersAreNoRoomProblem(t *testing.T) {
+	_, err := NewLedger().Choose(view(twoChains[:3]...), service(), Demand{Tokens: 1, Domain: "a"}, start)
+	assert.ErrorIs(t, err, ErrNoInstance)
+}
+
+// Guards against a detour that changes parts which work, or that is charged
+// twice.
+func TestDetourReplacesOnePart(t *testing.T) {
+	v, l := view(twoChains[:6]...), NewLedger()
+	g, err := l.Choose(v, service(), Demand{Tokens: 900, Domain: "a"}, start)
+	assert.NilError(t, err)
+	g, ok := l.Detour(v, service(), g, "a3", start)
+	assert.Assert(t, ok)
+	want := Path{
+		{"a1", "a1:1", 0, 29}, {"a2", "a2:1", 29, 46}, {"a5", "a5:1", 46, 55}, {"a6", "a6:1", 55, 63},
+		{"a4", "a4:1", 63, 80},
+	}
+	assert.DeepEqual(t, g.Path, want)
+	_, ok = l.Detour(v, service(), g, "a1", start)
+	assert.Assert(t, !ok, "the first part can't be replaced")
+	l.Release(g)
+	assert.Equal(t, len(l.Own(start).Loads), 0)
+}
+
+// Guards against a slow instance that goes on to get requests, and against one
+// that is never used again.
+func TestSlowInstancesAreLeftOut(t *testing.T) {
+	v, l := view(twoChains...), NewLedger()
+	first := func(at time.Time) string {
+		g, err := l.Choose(v, service(), Demand{Tokens: 900, Domain: "a"}, at)
+		assert.NilError(t, err)
+		l.Release(g)
+		return g.Path.First().Instance
+	}
+	l.Slow("a2", 12, start)
+	assert.Equal(t, first(start), "b1")
+	assert.Equal(t, first(start.Add(2*slownessAge)), "a1")
+}
+
+// Guards against evidence of a loss that stays after an answer, or is taken
+// from errors of a server that answers.
+func TestLost(t *testing.T) {
+	l := NewLedger()
+	for range lostConnections + 1 {
+		l.Failed("a", start)
+	}
+	assert.Assert(t, !l.Lost("a", start))
+	for range lostConnections {
+		l.Unreachable("a", start)
+	}
+	assert.Assert(t, l.Lost("a", start))
+	l.Succeeded("a")
+	assert.Assert(t, !l.Lost("a", start))
+	l.AtFault("a", start)
+	assert.Assert(t, l.Lost("a", start))
+	assert.Assert(t, !l.Lost("a", start.Add(lostTime)))
+}
+
+// Guards against avoidance that empties a plain service.
+func TestAvoidanceNeverEmptiesAService(t *testing.T) {
+	v := &fleet.View{Instances: map[string]fleet.Instance{
+		"p1": {ID: "p1", Service: "p", Domain: "a", Slots: 4}, "p2": {ID: "p2", Service: "p", Domain: "b", Slots: 4},
+	}}
+	l, s := NewLedger(), &routing.Service{Name: "p"}
+	l.Failed("p1", start)
+	g, err := l.Choose(v, s, Demand{Domain: "a"}, start)
+	assert.NilError(t, err)
+	assert.Equal(t, g.Path.First().Instance, "p2")
+	l.Failed("p2", start)
+	_, err = l.Choose(v, s, Demand{Domain: "a"}, start)
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func present(id string, revision uint64, change func(*Instance)) Record {
+	in := &Instance{ID: id, Service: "s"}
+	if change != nil {
+		change(in)
+	}
+	return Record{ID: id, Revision: revision, Instance: in}
+}
+
+func known(d *Directory, id string) bool {
+	_, ok := d.View().Instances[id]
+	return ok
+}
+
+// Guards against a stale list that revives or changes an instance.
+func TestOlderRecordsAreDropped(t *testing.T) {
+	d := NewDirectory()
+	d.Update([]Record{present("a", 5, func(in *Instance) { in.Draining = true })}, start)
+	d.Update([]Record{present("a", 4, nil)}, start)
+	assert.Assert(t, d.View().Instances["a"].Draining)
+	d.Update([]Record{{ID: "a", Revision: 6}}, start)
+	d.Update([]Record{present("a", 5, nil)}, start)
+	assert.Assert(t, !known(d, "a"))
+}
+
+// Guards against instances that lapsed during an outage of the store and are
+// dropped though they are about to register again, and against ones that stay
+// for ever.
+func TestLapsedInstancesHaveAGraceTime(t *testing.T) {
+	d := NewDirectory()
+	d.Replace([]Record{present("a", 1, nil), present("b", 2, nil)}, false, start)
+	d.Replace([]Record{present("b", 3, nil)}, true, start.Add(time.Minute))
+	assert.Assert(t, known(d, "a"))
+	d.Expire(start.Add(time.Minute + lapseGrace - time.Millisecond))
+	assert.Assert(t, known(d, "a"))
+	d.Expire(start.Add(time.Minute + lapseGrace))
+	assert.Assert(t, !known(d, "a") && known(d, "b"))
+}
+
+// Guards against a removal in normal operation that is not in force at once,
+// and against the grace time for an instance that has announced its leaving.
+func TestRemovalIsImmediate(t *testing.T) {
+	d := NewDirectory()
+	d.Replace([]Record{
+		present("a", 1, nil), present("b", 2, func(in *Instance) { in.Draining = true }),
+	}, false, start)
+	d.Update([]Record{{ID: "a", Revision: 7}}, start)
+	assert.Assert(t, !known(d, "a"))
+	d.Replace(nil, true, start.Add(time.Minute))
+	assert.Assert(t, !known(d, "b"))
+}
+
+// Guards against waiters that miss a change.
+func TestChangedIsClosed(t *testing.T) {
+	d := NewDirectory()
+	view := d.View()
+	d.Update([]Record{present("a", 1, nil)}, start)
+	select {
+	case <-view.Changed:
+	default:
+		t.Fatal("the change was not signalled")
+	}
+}
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,89 @@
+package gossip
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/routing"
+)
+
+// Guards against gateways that do not learn of each other's load and of lost
+// instances.
+func TestReportsReachPeers(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var exchanges []*Exchange
+	var ledgers []*chain.Ledger
+	for _, name := range []string{"g1", "g2"} {
+		l := chain.NewLedger()
+		x, err := Listen(name, "127.0.0.1:0", l)
+		assert.NilError(t, err)
+		exchanges, ledgers = append(exchanges, x), append(ledgers, l)
+	}
+	for i, x := range exchanges {
+		other := exchanges[1-i]
+		address := netip.MustParseAddrPort(other.conn.LocalAddr().String())
+		x.Update([]PeerRecord{{Peer: Peer{Name: other.name, Address: address}}})
+		go func() { _ = x.Run(ctx) }()
+	}
+	view := &fleet.View{Instances: map[string]fleet.Instance{"p": {ID: "p", Service: "s", Slots: 1}}}
+	_, err := ledgers[0].Choose(view, &routing.Service{Name: "s"}, chain.Demand{}, time.Now())
+	assert.NilError(t, err)
+	ledgers[0].AtFault("lost", time.Now())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, err := ledgers[1].Choose(view, &routing.Service{Name: "s"}, chain.Demand{}, time.Now())
+		if err == nil || !ledgers[1].Lost("lost", time.Now()) {
+			return poll.Continue("not known yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	assert.Equal(t, exchanges[1].Alive(time.Now()), 2)
+	assert.Equal(t, exchanges[1].Known(), 2)
+}
+
+// Guards against a report of many loads that does not fit into datagrams.
+func TestLargeReportsAreSplit(t *testing.T) {
+	l := chain.NewLedger()
+	instances := make(map[string]fleet.Instance)
+	for i := range 150 {
+		id := "instance-with-a-long-name-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		instances[id] = fleet.Instance{ID: id, Service: id, Slots: 1}
+	}
+	view := &fleet.View{Instances: instances}
+	for id := range instances {
+		_, err := l.Choose(view, &routing.Service{Name: id}, chain.Demand{}, time.Now())
+		assert.NilError(t, err)
+	}
+	x := &Exchange{name: "g", ledger: l}
+	other := chain.NewLedger()
+	receiver := &Exchange{name: "r", ledger: other, heard: make(map[string]time.Time)}
+	for _, datagram := range x.encode(1, time.Now()) {
+		assert.Assert(t, len(datagram) <= maxDatagram, "%d", len(datagram))
+		receiver.receive(datagram, time.Now())
+	}
+	for id := range instances {
+		_, err := other.Choose(view, &routing.Service{Name: id}, chain.Demand{}, time.Now())
+		assert.ErrorIs(t, err, chain.ErrFull)
+	}
+}
+
+// Guards against datagrams from elsewhere that crash the receiver.
+func FuzzReceive(f *testing.F) {
+	x := &Exchange{name: "g", ledger: chain.NewLedger()}
+	x.ledger.AtFault("a", time.Now())
+	for _, datagram := range x.encode(1, time.Now()) {
+		f.Add(datagram)
+	}
+	f.Add([]byte{0xa1, 0x01, 0x61, 'x'})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		receiver := &Exchange{name: "r", ledger: chain.NewLedger(), heard: make(map[string]time.Time)}
+		receiver.receive(data, time.Now())
+	})
+}
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func table(t *testing.T, version int64) *Table {
+	t.Helper()
+	one := func(name, host, prefix string) Route {
+		return Route{Name: name, Host: host, Prefix: prefix, Backends: []Backend{{Service: "s", Weight: 1}}}
+	}
+	table, err := NewTable(Configuration{
+		Version: version,
+		Routes: []Route{
+			one("root", "a", "/"), one("deep", "a", "/x/y/"), one("mid", "a", "/x/"), one("other", "b", "/x/"),
+		},
+		Services: []Service{{Name: "s"}},
+		Teams:    []Team{{Name: "t1", Keys: []string{"k1", "k2"}}},
+	})
+	assert.NilError(t, err)
+	return table
+}
+
+// Guards against a request that is served by the wrong route.
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	tests := []struct{ host, path, want string }{
+		{"a", "/", "root"}, {"a", "/x", "root"}, {"a", "/x/", "mid"}, {"a", "/x/y", "mid"},
+		{"a", "/x/y/", "deep"}, {"a", "/x/y/z", "deep"}, {"b", "/x/y/z", "other"},
+		{"b", "/", ""}, {"b", "/xx/", ""}, {"c", "/x/", ""}, {"a", "", ""},
+	}
+	for _, tt := range tests {
+		r, err := table(t, 1).Match(tt.host, tt.path)
+		if tt.want == "" {
+			assert.ErrorIs(t, err, ErrNoRoute, tt.path)
+			continue
+		}
+		assert.NilError(t, err, tt.path)
+		assert.Equal(t, r.Name, tt.want, tt.path)
+	}
+}
+
+// Guards against a key that is taken for that of another team.
+func TestTeam(t *testing.T) {
+	team, err := table(t, 1).Team("k2")
+	assert.NilError(t, err)
+	assert.Equal(t, team.Name, "t1")
+	_, err = table(t, 1).Team("")
+	assert.ErrorIs(t, err, ErrUnknownKey)
+}
+
+// Guards against a configuration that gives way to an older one.
+func TestInstallNeverFallsBack(t *testing.T) {
+	var c Current
+	assert.Assert(t, c.Get() == nil)
+	for _, tt := range []struct {
+		version   int64
+		installed bool
+	}{{3, true}, {2, false}, {3, false}, {9, true}, {8, false}} {
+		assert.Equal(t, c.Install(table(t, tt.version)), tt.installed, "%d", tt.version)
+	}
+	assert.Equal(t, c.Get().Version(), int64(9))
+}
+
+// Guards against configurations whose requests could go nowhere.
+func TestNewTableRejects(t *testing.T) {
+	s := []Service{{Name: "s"}}
+	b := []Backend{{Service: "s", Weight: 1}}
+	for _, r := range []Route{
+		{Prefix: "x/", Backends: b}, {Prefix: "/x", Backends: b}, {Prefix: "/"},
+		{Prefix: "/", Backends: []Backend{{Service: "none"}}},
+	} {
+		_, err := NewTable(Configuration{Routes: []Route{r}, Services: s})
+		assert.Assert(t, errors.Is(err, ErrInvalid), "%v", r)
+	}
+}
+
+// Guards against weights that are not kept, and against a route without
+// weights that sends nothing.
+func TestPick(t *testing.T) {
+	r := Route{Backends: []Backend{{"a", 90}, {"b", 10}}}
+	assert.Equal(t, r.Pick(0), "a")
+	assert.Equal(t, r.Pick(0.899), "a")
+	assert.Equal(t, r.Pick(0.901), "b")
+	assert.Equal(t, r.Pick(0.9999), "b")
+	none := Route{Backends: []Backend{{"a", 0}, {"b", 0}}}
+	assert.Equal(t, none.Pick(0.5), "a")
+}
+
+// Guards against a stream or request that is repeated though it may not be.
+func TestRepeatable(t *testing.T) {
+	tests := []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: Idempotent}, true},
+		{Route{Kind: NonIdempotent}, false},
+		{Route{Kind: NonIdempotent, Resumable: true}, false},
+		{Route{Kind: Streaming}, false},
+		{Route{Kind: Streaming, Resumable: true}, true},
+		{Route{}, false},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, tt.route.Repeatable(), tt.want, "%v", tt.route)
+	}
+}
