gateway: Keep placing while the store is away and learn layers from instances

The placer's lease expired, an order without an answer was carried out late, so that all gateways sent requests to layers that were given up (421), and lost instances counted as usable again after 1.5 s without evidence.

Change: the last holder goes on placing while no gateway that is alive reaches the store; instances are asked which layers they hold after an order and after a 421, and the answers are told to peers; a lost instance stays lost until it answers a question.

--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -205,6 +205,21 @@
 	assert.Assert(t, !l.Lost("a", start.Add(lostTime)))
 }
 
+// Guards against a lost instance that is used again before it answers, and
+// against one that is asked without end.
+func TestLostInstancesAreAskedAgain(t *testing.T) {
+	l := NewLedger()
+	l.AtFault("a", start)
+	assert.Equal(t, len(l.LostInstances(start)), 0)
+	at := start.Add(recheckPause)
+	assert.DeepEqual(t, l.LostInstances(at), []string{"a"})
+	assert.Equal(t, len(l.LostInstances(at)), 0)
+	l.Rechecked("a", false, at)
+	assert.Assert(t, l.Lost("a", start.Add(lostTime)))
+	l.Rechecked("a", true, at)
+	assert.Assert(t, !l.Lost("a", at))
+}
+
 // Guards against avoidance that empties a plain service.
 func TestAvoidanceNeverEmptiesAService(t *testing.T) {
 	v := &fleet.View{Instances: map[string]fleet.Instance{
--- a/internal/chain/ledger.go
+++ b/internal/chain/ledger.go
@@ -26,9 +26,12 @@
 	failures   int
 	// unreachable counts the connections in a row that failed.
 	unreachable int
-	// lostUntil is the time until which the instance counts as lost; peers
-	// are told of it.
+	// lostUntil is the time until which the instance counts as lost. ownLoss
+	// is true if this gateway found that out; it tells its peers, and asks the
+	// instance at recheckAt whether it is back.
 	lostUntil time.Time
+	ownLoss   bool
+	recheckAt time.Time
 }
 
 // Ledger keeps account of the work that this process has given to instances.
@@ -93,7 +96,7 @@
 
 func (l *Ledger) avoided(id string, now time.Time) bool {
 	a := l.accounts[id]
-	return a != nil && now.Before(a.avoidUntil)
+	return a != nil && (now.Before(a.avoidUntil) || now.Before(a.lostUntil))
 }
 
 // Choose reserves the fastest path for a demand. It returns ErrNoInstance if
@@ -287,8 +290,12 @@
 }
 
 const (
-	// lostTime is how long an instance counts as lost after the evidence.
-	lostTime = 1500 * time.Millisecond
+	// lostTime is how long an instance counts as lost after the evidence,
+	// peerLostTime after the report of a peer.
+	lostTime     = 5 * time.Second
+	peerLostTime = 1500 * time.Millisecond
+	// recheckPause is the time between two questions to a lost instance.
+	recheckPause = time.Second
 	// lostConnections is the number of failed connections in a row after
 	// which an instance counts as lost.
 	lostConnections = 3
@@ -300,7 +307,39 @@
 	l.Failed(id, now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entry(id).lostUntil = now.Add(lostTime)
+	l.entry(id).lose(now)
+}
+
+// lose notes evidence of a loss.
+func (a *account) lose(now time.Time) {
+	a.lostUntil, a.ownLoss, a.recheckAt = now.Add(lostTime), true, now.Add(recheckPause)
+}
+
+// LostInstances returns the lost instances that are to be asked whether they
+// are back. Each is returned once in recheckPause.
+func (l *Ledger) LostInstances(now time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []string
+	for id, a := range l.accounts {
+		if a.ownLoss && now.Before(a.lostUntil) && !now.Before(a.recheckAt) {
+			a.recheckAt = now.Add(recheckPause)
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Rechecked records whether a lost instance answered.
+func (l *Ledger) Rechecked(id string, answered bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	if !answered {
+		a.lose(now)
+		return
+	}
+	a.lostUntil, a.ownLoss, a.unreachable = time.Time{}, false, 0
 }
 
 // Unreachable records that no connection to an instance could be made.
@@ -311,7 +350,7 @@
 	a := l.entry(id)
 	a.unreachable++
 	if a.unreachable >= lostConnections {
-		a.lostUntil = now.Add(lostTime)
+		a.lose(now)
 	}
 }
 
@@ -385,7 +424,7 @@
 	defer l.mu.Unlock()
 	a := l.entry(id)
 	a.failures, a.unreachable = 0, 0
-	a.avoidUntil, a.lostUntil = time.Time{}, time.Time{}
+	a.avoidUntil, a.lostUntil, a.ownLoss = time.Time{}, time.Time{}, false
 }
 
 // Forget drops the accounts of instances that are not in the view and have no
--- a/internal/chain/peers.go
+++ b/internal/chain/peers.go
@@ -49,8 +49,8 @@
 		if a.requests > 0 {
 			r.Loads = append(r.Loads, Load{id, a.tokenLayers, a.requests})
 		}
-		if now.Before(a.lostUntil) {
-			r.Faults = append(r.Faults, Fault{id, a.lostUntil.Sub(now)})
+		if a.ownLoss && now.Before(a.lostUntil) {
+			r.Faults = append(r.Faults, Fault{id, min(a.lostUntil.Sub(now), peerLostTime)})
 		}
 		if age := now.Sub(a.slowAt); a.slowness > 1 && age < slownessAge {
 			r.Slow = append(r.Slow, Slowness{id, a.slowness, age})
@@ -78,13 +78,10 @@
 	}
 	for _, f := range r.Faults {
 		a := l.entry(f.Instance)
-		until := now.Add(min(f.Remaining, lostTime))
+		until := now.Add(min(f.Remaining, peerLostTime))
 		if until.After(a.lostUntil) {
 			a.lostUntil = until
 		}
-		if until.After(a.avoidUntil) {
-			a.avoidUntil = until
-		}
 	}
 	for _, s := range r.Slow {
 		a := l.entry(s.Instance)
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -48,6 +48,9 @@
 var (
 	LayersOrdered = define(1900, "layers-ordered", zerolog.InfoLevel,
 		"An instance was ordered to hold a range of layers.", noAction)
+	LayersObserved = define(1905, "layers-observed", zerolog.InfoLevel,
+		"An instance was asked which layers it holds, after an order or after it refused a request; the answer "+
+			"counts until the store has a newer entry of the instance.", noAction)
 	LayersOrderFailed = define(1901, "layers-order-failed", zerolog.WarnLevel,
 		"An order to hold layers was refused or not answered; it may still be carried out.",
 		"None; the order is repeated if it is still needed.")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,16 +56,23 @@
 
 // Directory keeps the newest view. It is safe for concurrent use.
 type Directory struct {
-	mu       sync.Mutex
-	view     atomic.Pointer[View]
-	revs     map[string]uint64
+	mu   sync.Mutex
+	view atomic.Pointer[View]
+	revs map[string]uint64
+	// observed are the layers that instances reported themselves.
+	observed map[string]Observation
+	// changed is when the store's entry of an instance last changed.
+	changed  map[string]time.Time
 	lapsed   map[string]time.Time
 	regained time.Time
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	d := &Directory{revs: make(map[string]uint64), lapsed: make(map[string]time.Time)}
+	d := &Directory{
+		revs: make(map[string]uint64), observed: make(map[string]Observation),
+		changed: make(map[string]time.Time), lapsed: make(map[string]time.Time),
+	}
 	d.view.Store(newView(map[string]Instance{}))
 	return d
 }
@@ -119,6 +126,50 @@
 	d.publish(next)
 }
 
+// Observation is what an instance itself said that it holds.
+type Observation struct {
+	ID     string
+	Layers LayerRange
+	// At is when it said so.
+	At time.Time
+}
+
+// observationTime is how long an observation counts at most. Entries in the
+// store follow within a few seconds unless the store is away.
+const observationTime = 20 * time.Second
+
+// Observe installs what an instance itself said, unless the store's entry
+// changed after that. It counts until the store has a newer entry.
+func (d *Directory) Observe(o Observation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	in, known := d.view.Load().Instances[o.ID]
+	if !known || !o.At.After(d.observed[o.ID].At) || !o.At.After(d.changed[o.ID]) {
+		return
+	}
+	d.observed[o.ID] = o
+	if in.Layers == o.Layers {
+		return
+	}
+	next := maps.Clone(d.view.Load().Instances)
+	in.Layers = o.Layers
+	next[o.ID] = in
+	d.publish(next)
+}
+
+// Observations returns what instances said since a time.
+func (d *Directory) Observations(since time.Time) []Observation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []Observation
+	for _, o := range d.observed {
+		if o.At.After(since) {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
 // Expire removes the instances whose grace after an outage has passed.
 func (d *Directory) Expire(now time.Time) {
 	d.mu.Lock()
@@ -132,6 +183,11 @@
 			removed = true
 		}
 	}
+	for id, o := range d.observed {
+		if now.Sub(o.At) > observationTime {
+			delete(d.observed, id)
+		}
+	}
 	if removed {
 		d.publish(next)
 	}
@@ -143,9 +199,17 @@
 	if r.Revision < d.revs[r.ID] {
 		return
 	}
+	if r.Revision > d.revs[r.ID] {
+		delete(d.observed, r.ID)
+		d.changed[r.ID] = now
+	}
 	d.revs[r.ID] = r.Revision
 	if r.Instance != nil {
-		next[r.ID] = *r.Instance
+		in := *r.Instance
+		if o, ok := d.observed[r.ID]; ok {
+			in.Layers = o.Layers
+		}
+		next[r.ID] = in
 		delete(d.lapsed, r.ID)
 		return
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -60,6 +60,25 @@
 	assert.Assert(t, !known(d, "b"))
 }
 
+// Guards against layers that are known from an instance itself and forgotten
+// by a list, and against ones that outlive a newer entry of the store.
+func TestObservationsCountUntilANewerEntry(t *testing.T) {
+	d := NewDirectory()
+	held := func(from, to int) func(*Instance) {
+		return func(in *Instance) { in.Layers = LayerRange{from, to} }
+	}
+	d.Update([]Record{present("a", 5, held(0, 10))}, start)
+	d.Observe(Observation{"a", LayerRange{10, 20}, start.Add(time.Second)})
+	d.Observe(Observation{"a", LayerRange{0, 0}, start.Add(-time.Second)})
+	d.Observe(Observation{"unknown", LayerRange{0, 5}, start})
+	assert.Equal(t, d.View().Instances["a"].Layers, LayerRange{10, 20})
+	d.Replace([]Record{present("a", 5, held(0, 10))}, false, start)
+	assert.Equal(t, d.View().Instances["a"].Layers, LayerRange{10, 20})
+	d.Update([]Record{present("a", 6, held(30, 40))}, start)
+	assert.Equal(t, d.View().Instances["a"].Layers, LayerRange{30, 40})
+	assert.Assert(t, !known(d, "unknown"))
+}
+
 // Guards against waiters that miss a change.
 func TestChangedIsClosed(t *testing.T) {
 	d := NewDirectory()
--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -16,13 +16,16 @@
 	// streams, slownessAge how long one about slowness does.
 	reportAge   = 200 * time.Millisecond
 	slownessAge = time.Second
+	// observationAge is how long one about layers does.
+	observationAge = 300 * time.Millisecond
 )
 
 // faultFinder finds the cause of a silent stream by asking the instances of
 // its path. Streams share the answers.
 type faultFinder struct {
-	engines Engines
-	ledger  *chain.Ledger
+	engines   Engines
+	ledger    *chain.Ledger
+	directory *fleet.Directory
 
 	mu      sync.Mutex
 	answers map[string]*engineAnswer
@@ -37,8 +40,8 @@
 	err    error
 }
 
-func newFaultFinder(e Engines, l *chain.Ledger) *faultFinder {
-	return &faultFinder{engines: e, ledger: l, answers: make(map[string]*engineAnswer)}
+func newFaultFinder(e Engines, l *chain.Ledger, d *fleet.Directory) *faultFinder {
+	return &faultFinder{engines: e, ledger: l, directory: d, answers: make(map[string]*engineAnswer)}
 }
 
 // Locate returns the instance that keeps the request from going on, "" if none
@@ -90,6 +93,32 @@
 	return slowest, worst
 }
 
+// reportLag is how old the values of an answer are at most.
+const reportLag = 400 * time.Millisecond
+
+// Observe asks an instance which layers it holds.
+func (f *faultFinder) Observe(ctx context.Context, in fleet.Instance, now time.Time) (fleet.Observation, error) {
+	answer := f.ask(ctx, in.Address, now, observationAge)
+	if answer.err != nil {
+		return fleet.Observation{}, answer.err
+	}
+	return fleet.Observation{ID: in.ID, Layers: answer.report.Layers, At: answer.at.Add(-reportLag)}, nil
+}
+
+// Recheck asks the lost instances whether they are back.
+func (f *faultFinder) Recheck(ctx context.Context, view *fleet.View, now time.Time) {
+	for _, id := range f.ledger.LostInstances(now) {
+		in, known := view.Instances[id]
+		if !known {
+			continue
+		}
+		go func() {
+			answer := f.ask(ctx, in.Address, now, 0)
+			f.ledger.Rechecked(id, answer.err == nil, time.Now())
+		}()
+	}
+}
+
 // Remeasure asks the instances that were slow again, so that they are neither
 // avoided longer than necessary nor used because a measurement grew old.
 func (f *faultFinder) Remeasure(ctx context.Context, view *fleet.View, now time.Time) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 		ledger:    ledger,
 		pool:      backend.NewPool(),
 		admission: newAdmission(ledger, directory),
-		faults:    newFaultFinder(p.Engines, ledger),
+		faults:    newFaultFinder(p.Engines, ledger, directory),
 	}
 	g.budget = newRepeatBudget(s.RetryRatio, s.RetryWindow, s.RetryReserve, g.gateways)
 	return g
@@ -230,6 +230,7 @@
 			view := g.directory.View()
 			g.ledger.Forget(view)
 			g.faults.Remeasure(ctx, view, now)
+			g.faults.Recheck(ctx, view, now)
 			g.metrics.inFlight.Update(float64(g.inFlight.Load()))
 		}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,7 +29,7 @@
 		return nil
 	}
 	address := net.JoinHostPort(g.settings.Address, strconv.Itoa(g.settings.PeerPort))
-	exchange, err := gossip.Listen(g.settings.Instance, address, g.ledger)
+	exchange, err := gossip.Listen(g.settings.Instance, address, g.ledger, g.directory)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -28,6 +28,10 @@
 	// refusalPause is how long an instance that refused an order is left
 	// alone: it may still be carrying out another one.
 	refusalPause = time.Second
+	// observeMargin is how long after the time to load an instance is asked
+	// whether it is done, observePause the time between two questions.
+	observeMargin = 100 * time.Millisecond
+	observePause  = 700 * time.Millisecond
 	// orderPatience is how long an ordered range counts as held before it is
 	// reported, beside the time to load it.
 	orderPatience = 5 * time.Second
@@ -37,6 +41,11 @@
 type Lease interface {
 	// Held reports whether the lease is held at now.
 	Held(now time.Time) bool
+	// StoreAway reports whether the latest call about the lease failed.
+	StoreAway() bool
+	// HeldByOther reports whether the latest answer of the store named
+	// another holder.
+	HeldByOther() bool
 }
 
 // placer orders instances to hold layers while it holds the lease.
@@ -44,6 +53,8 @@
 	g       *Gateway
 	lease   Lease
 	leading bool
+	// last is true if this gateway was the last holder that it knows of.
+	last    bool
 	pending map[string]pendingOrder
 	results chan orderResult
 	// begun counts the orders of each instance.
@@ -71,6 +82,8 @@
 	layers  fleet.LayerRange
 	started int64
 	until   time.Time
+	// due is when the instance is asked whether it is done.
+	due time.Time
 	// refused orders only keep the instance from being ordered again.
 	refused bool
 }
@@ -97,7 +110,10 @@
 			continue
 		}
 		now := time.Now()
-		if p.leads(now) && !p.g.stale() {
+		if p.g.gossip != nil {
+			p.g.gossip.SetState(p.lease.StoreAway(), p.leading)
+		}
+		if p.leads(now) && (!p.g.stale() || p.orphaned(now)) {
 			p.step(ctx, now)
 		}
 	}
@@ -105,24 +121,33 @@
 
 // leads reports whether this process holds the lease, and logs changes.
 func (p *placer) leads(now time.Time) bool {
-	held := p.lease.Held(now)
+	p.last = (p.last || p.lease.Held(now)) && !p.lease.HeldByOther()
+	held := p.lease.Held(now) || p.last && p.orphaned(now)
 	switch {
 	case held && !p.leading:
 		p.g.log.Log(events.PlacerElected).Send()
 	case !held && p.leading:
-		p.g.log.Log(events.PlacerDeposed).Send()
+		p.g.log.Log(events.PlacerDeposed).Bool("store_away", p.lease.StoreAway()).Send()
 		clear(p.pending)
 	}
 	p.leading = held
 	return held
 }
 
+// orphaned reports whether neither this gateway nor any other that is alive
+// reaches the store, and none of them leads. Nobody else can take the lease
+// then, and the last holder goes on.
+func (p *placer) orphaned(now time.Time) bool {
+	return p.lease.StoreAway() && p.g.gossip != nil && p.g.gossip.Orphaned(now)
+}
+
 // step completes the placement of each service in each failure domain.
 func (p *placer) step(ctx context.Context, now time.Time) {
 	table := p.g.current.Get()
 	if table == nil {
 		return
 	}
+	p.observeDue(ctx, now)
 	view := p.g.directory.View()
 	p.settle(view, now)
 	for _, s := range table.Services() {
@@ -139,6 +164,31 @@
 	}
 }
 
+// observeDue asks the instances whose orders should be done: their entries in
+// the store follow later.
+func (p *placer) observeDue(ctx context.Context, now time.Time) {
+	for id, o := range p.pending {
+		if o.refused || now.Before(o.due) {
+			continue
+		}
+		in, known := p.g.directory.View().Instances[id]
+		if !known {
+			continue
+		}
+		o.due = now.Add(observePause)
+		p.pending[id] = o
+		go func() {
+			// While it loads, an instance reports other layers or none.
+			seen, err := p.g.faults.Observe(ctx, in, now)
+			if err == nil && seen.Layers == o.layers {
+				p.g.directory.Observe(seen)
+			}
+			p.g.log.Log(events.LayersObserved).Str("instance", id).Int("from", seen.Layers.From).
+				Int("to", seen.Layers.To).Err(err).Send()
+		}()
+	}
+}
+
 // settle forgets orders that were carried out, lost or overtaken.
 func (p *placer) settle(view *fleet.View, now time.Time) {
 	for id, o := range p.pending {
@@ -180,6 +230,7 @@
 		load := time.Duration(share * float64(s.Model.LoadTime))
 		p.pending[move.Instance.ID] = pendingOrder{
 			layers: move.Layers, started: move.Instance.StartedMS, until: now.Add(2*load + orderPatience),
+			due: now.Add(load + observeMargin),
 		}
 		go p.order(ctx, move, p.begunBy(move.Instance))
 	}
@@ -261,6 +312,7 @@
 	default:
 		p.pending[in.ID] = pendingOrder{
 			layers: r.move.Layers, started: in.StartedMS, until: now.Add(uncertainTime),
+			due: now.Add(uncertainTime / 2),
 		}
 	}
 	p.begun[in.ID] = begunOrders{in.StartedMS, count}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -159,14 +159,10 @@
 // afterRefusal decides what follows the refusal of an instance, which has not
 // run the request.
 func (c *call) afterRefusal(first chain.Part, reply Reply, status int) bool {
-	culprit := first.Instance
-	for _, part := range c.lastPath {
-		if part.Address == reply.FaultAddress {
-			culprit = part.Instance
-		}
-	}
+	culprit := c.culprit(first, reply)
 	c.avoid = append(c.avoid, culprit)
 	c.g.ledger.Failed(culprit, time.Now())
+	c.observeMisplaced(culprit, status)
 	if c.mayResend() {
 		c.line(events.RequestRepeated).Str("instance", culprit).Int("status", status).Bool("not_run", true).Send()
 		return true
@@ -179,6 +175,31 @@
 	return false
 }
 
+// culprit returns the instance that a refusal names, or the first of the path.
+func (c *call) culprit(first chain.Part, reply Reply) string {
+	for _, part := range c.lastPath {
+		if part.Address == reply.FaultAddress {
+			return part.Instance
+		}
+	}
+	return first.Instance
+}
+
+// observeMisplaced asks an instance which layers it holds after it refused a
+// request because it does not hold those that it was thought to.
+func (c *call) observeMisplaced(instance string, status int) {
+	in, known := c.g.directory.View().Instances[instance]
+	if !known || status != http.StatusMisdirectedRequest || c.service.Model == nil {
+		return
+	}
+	o, err := c.g.faults.Observe(c.context(), in, time.Now())
+	if err == nil {
+		c.g.directory.Observe(o)
+	}
+	c.line(events.LayersObserved).Str("instance", instance).Int("from", o.Layers.From).Int("to", o.Layers.To).
+		Err(err).Send()
+}
+
 // hopHeaders concern one connection only.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Te", "Trailer", "Transfer-Encoding",
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -104,6 +104,8 @@
 	Orders int64
 	// Slowness is the factor by which the instance is slower than its type.
 	Slowness float64
+	// Layers are those that the instance holds.
+	Layers fleet.LayerRange
 }
 
 // Engines calls the control interface of model engines.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -313,8 +313,10 @@
 	if s.answered == 0 {
 		return s.afterRefusal(first, reply, status)
 	}
-	s.avoid = append(s.avoid, first.Instance)
-	s.g.ledger.Failed(first.Instance, time.Now())
+	culprit := s.culprit(first, reply)
+	s.avoid = append(s.avoid, culprit)
+	s.g.ledger.Failed(culprit, time.Now())
+	s.observeMisplaced(culprit, status)
 	if s.mayResend() {
 		return true
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
 )
 
 const (
@@ -25,6 +26,8 @@
 	maxDatagram = 1400
 	// loadsPerDatagram is how many loads fit in one datagram.
 	loadsPerDatagram = 40
+	// observationAge is how long the layers of an instance are told to peers.
+	observationAge = 2 * time.Second
 	// heardWithin is how recent a report must be for its sender to count as
 	// alive.
 	heardWithin = 10 * time.Second
@@ -55,6 +58,19 @@
 	Faults []fault `cbor:"4,keyasint,omitempty"`
 	// Slow are instances that are slower than their type.
 	Slow []slowness `cbor:"5,keyasint,omitempty"`
+	// Held are the layers that instances said recently that they hold.
+	Held []holding `cbor:"6,keyasint,omitempty"`
+	// StoreAway is true if the sender does not reach the store, Leading if it
+	// places layers.
+	StoreAway bool `cbor:"7,keyasint,omitempty"`
+	Leading   bool `cbor:"8,keyasint,omitempty"`
+}
+
+type holding struct {
+	_        struct{} `cbor:",toarray"`
+	Instance string
+	From, To uint32
+	AgeMS    uint32
 }
 
 type load struct {
@@ -80,18 +96,22 @@
 
 // Exchange sends and receives reports.
 type Exchange struct {
-	name   string
-	ledger *chain.Ledger
-	conn   *net.UDPConn
+	name      string
+	ledger    *chain.Ledger
+	directory *fleet.Directory
+	conn      *net.UDPConn
 
 	mu    sync.Mutex
 	peers map[string]netip.AddrPort
 	heard map[string]time.Time
-	round uint64
+	// away are the peers that do not reach the store and do not lead.
+	away               map[string]bool
+	storeAway, leading bool
+	round              uint64
 }
 
 // Listen returns an exchange that receives at address.
-func Listen(name, address string, ledger *chain.Ledger) (*Exchange, error) {
+func Listen(name, address string, ledger *chain.Ledger, directory *fleet.Directory) (*Exchange, error) {
 	local, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "gossip: address")
@@ -101,8 +121,8 @@
 		return nil, eris.Wrap(err, "gossip: listen")
 	}
 	return &Exchange{
-		name: name, ledger: ledger, conn: conn,
-		peers: make(map[string]netip.AddrPort), heard: make(map[string]time.Time),
+		name: name, ledger: ledger, directory: directory, conn: conn,
+		peers: make(map[string]netip.AddrPort), heard: make(map[string]time.Time), away: make(map[string]bool),
 	}, nil
 }
 
@@ -152,6 +172,31 @@
 	return alive
 }
 
+// SetState tells the peers whether this gateway reaches the store and whether
+// it leads.
+func (x *Exchange) SetState(storeAway, leading bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.storeAway, x.leading = storeAway, leading
+}
+
+// aliveWithin is how recent a report must be for its sender to count as alive
+// in the decision who acts.
+const aliveWithin = time.Second
+
+// Orphaned reports whether no gateway that is alive reaches the store, and none
+// of the peers leads.
+func (x *Exchange) Orphaned(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for name, at := range x.heard {
+		if now.Sub(at) < aliveWithin && !x.away[name] {
+			return false
+		}
+	}
+	return x.storeAway
+}
+
 // Known returns the number of gateways that are registered, with this one.
 func (x *Exchange) Known() int {
 	x.mu.Lock()
@@ -195,7 +240,15 @@
 // encode returns the datagrams of a report.
 func (x *Exchange) encode(round uint64, now time.Time) [][]byte {
 	r := x.ledger.Own(now)
-	m := message{From: x.name, Round: round}
+	x.mu.Lock()
+	m := message{From: x.name, Round: round, StoreAway: x.storeAway, Leading: x.leading}
+	x.mu.Unlock()
+	for _, o := range x.directory.Observations(now.Add(-observationAge)) {
+		m.Held = append(m.Held, holding{
+			Instance: o.ID, From: uint32(max(o.Layers.From, 0)), To: uint32(max(o.Layers.To, 0)),
+			AgeMS: uint32(now.Sub(o.At).Milliseconds()),
+		})
+	}
 	for _, f := range r.Faults {
 		m.Faults = append(m.Faults, fault{Instance: f.Instance, RemainingMS: uint32(f.Remaining.Milliseconds())})
 	}
@@ -220,7 +273,7 @@
 		if len(loads) == 0 {
 			return datagrams
 		}
-		m = message{From: x.name, Round: round}
+		m = message{From: x.name, Round: round, StoreAway: m.StoreAway, Leading: m.Leading}
 	}
 }
 
@@ -235,7 +288,14 @@
 	}
 	x.mu.Lock()
 	x.heard[m.From] = now
+	x.away[m.From] = m.StoreAway && !m.Leading
 	x.mu.Unlock()
+	for _, h := range m.Held {
+		x.directory.Observe(fleet.Observation{
+			ID: h.Instance, Layers: fleet.LayerRange{From: int(h.From), To: int(h.To)},
+			At: now.Add(-time.Duration(h.AgeMS) * time.Millisecond),
+		})
+	}
 	x.ledger.SetPeer(m.From, m.Round, m.report(), now)
 }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -23,7 +24,7 @@
 	var ledgers []*chain.Ledger
 	for _, name := range []string{"g1", "g2"} {
 		l := chain.NewLedger()
-		x, err := Listen(name, "127.0.0.1:0", l)
+		x, err := Listen(name, "127.0.0.1:0", l, fleet.NewDirectory())
 		assert.NilError(t, err)
 		exchanges, ledgers = append(exchanges, x), append(ledgers, l)
 	}
@@ -48,6 +49,38 @@
 	assert.Equal(t, exchanges[1].Known(), 2)
 }
 
+func newReceiver(l *chain.Ledger) *Exchange {
+	return &Exchange{
+		name: "r", ledger: l, directory: fleet.NewDirectory(), heard: make(map[string]time.Time),
+		away: make(map[string]bool),
+	}
+}
+
+// Guards against a process that goes on without the lease while another
+// gateway reaches the store, and against one that stops though none does.
+func TestOrphaned(t *testing.T) {
+	x := newReceiver(chain.NewLedger())
+	now := time.Now()
+	peer := func(name string, away bool, at time.Time) {
+		data, err := cbor.Marshal(message{From: name, Round: 1, StoreAway: away})
+		assert.NilError(t, err)
+		x.receive(data, at)
+	}
+	assert.Assert(t, !x.Orphaned(now))
+	x.SetState(true, false)
+	assert.Assert(t, x.Orphaned(now))
+	peer("a", true, now)
+	assert.Assert(t, x.Orphaned(now))
+	data, err := cbor.Marshal(message{From: "a", Round: 2, StoreAway: true, Leading: true})
+	assert.NilError(t, err)
+	x.receive(data, now)
+	assert.Assert(t, !x.Orphaned(now), "a peer leads")
+	peer("a", true, now)
+	peer("b", false, now)
+	assert.Assert(t, !x.Orphaned(now))
+	assert.Assert(t, x.Orphaned(now.Add(2*aliveWithin)))
+}
+
 // Guards against a report of many loads that does not fit into datagrams.
 func TestLargeReportsAreSplit(t *testing.T) {
 	l := chain.NewLedger()
@@ -61,9 +94,9 @@
 		_, err := l.Choose(view, &routing.Service{Name: id}, chain.Demand{}, time.Now())
 		assert.NilError(t, err)
 	}
-	x := &Exchange{name: "g", ledger: l}
+	x := &Exchange{name: "g", ledger: l, directory: fleet.NewDirectory()}
 	other := chain.NewLedger()
-	receiver := &Exchange{name: "r", ledger: other, heard: make(map[string]time.Time)}
+	receiver := newReceiver(other)
 	for _, datagram := range x.encode(1, time.Now()) {
 		assert.Assert(t, len(datagram) <= maxDatagram, "%d", len(datagram))
 		receiver.receive(datagram, time.Now())
@@ -76,14 +109,14 @@
 
 // Guards against datagrams from elsewhere that crash the receiver.
 func FuzzReceive(f *testing.F) {
-	x := &Exchange{name: "g", ledger: chain.NewLedger()}
+	x := &Exchange{name: "g", ledger: chain.NewLedger(), directory: fleet.NewDirectory()}
 	x.ledger.AtFault("a", time.Now())
 	for _, datagram := range x.encode(1, time.Now()) {
 		f.Add(datagram)
 	}
 	f.Add([]byte{0xa1, 0x01, 0x61, 'x'})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		receiver := &Exchange{name: "r", ledger: chain.NewLedger(), heard: make(map[string]time.Time)}
+		receiver := newReceiver(chain.NewLedger())
 		receiver.receive(data, time.Now())
 	})
 }
