gateway: Take only streams that surely end before a planned stop

Change: three seconds after SIGTERM a stream is taken only if its largest output fits into the time left; others return after the restart. Layers that an order gives up are known to all gateways at once.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,15 @@
 // Len returns the number of layers.
 func (r LayerRange) Len() int { return max(r.To-r.From, 0) }
 
+// Intersect returns the layers that are in both ranges.
+func (r LayerRange) Intersect(other LayerRange) LayerRange {
+	both := LayerRange{From: max(r.From, other.From), To: min(r.To, other.To)}
+	if both.Len() == 0 {
+		return LayerRange{}
+	}
+	return both
+}
+
 // Contains reports whether layer is in the range.
 func (r LayerRange) Contains(layer int) bool { return r.From <= layer && layer < r.To }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if !c.endsInTime() {
-		c.refuse("this gateway stops", drainReturn)
+		c.refuseStopping()
 		return
 	}
 	g.budget.Request(c.service.Name, c.started)
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -16,16 +16,15 @@
 	drainMargin = 400 * time.Millisecond
 	// drainPoll is how often the end of the work in progress is looked for.
 	drainPoll = 20 * time.Millisecond
-	// typicalTokenTime is the time of one output token of a loaded chain. It
-	// decides whether a stream can end before a planned stop does.
-	typicalTokenTime = 15 * time.Millisecond
+	// longTokenTime is the time of one output token of a heavily loaded chain.
+	// It decides whether a stream surely ends before a planned stop does.
+	longTokenTime = 25 * time.Millisecond
 	// acceptAll is how long after the begin of a planned stop all requests are
 	// accepted: the load balancer still sends clients here, and those that are
 	// refused would come back to this gateway.
 	acceptAll = 3 * time.Second
-	// drainReturn is when a client that is refused because of a planned stop
-	// comes back; it reaches another gateway then.
-	drainReturn = 100 * time.Millisecond
+	// restartTime is how long a gateway needs to serve again after it stops.
+	restartTime = 700 * time.Millisecond
 )
 
 // draining reports whether a planned stop has begun.
@@ -53,16 +52,24 @@
 
 func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
-// endsInTime reports whether the call will end before a planned stop does.
+// refuseStopping refuses a call because of a planned stop. A client that still
+// comes here finds no other gateway ready, so it returns after the restart.
+func (c *call) refuseStopping() {
+	c.refuse("this gateway stops", time.Until(time.Unix(0, c.g.stopAt.Load()))+restartTime)
+}
+
+// endsInTime reports whether the call surely ends before a planned stop does,
+// or may be taken whatever its length.
 func (c *call) endsInTime() bool {
 	stop := c.g.stopAt.Load()
 	begin := time.Unix(0, stop).Add(drainMargin - c.g.settings.DrainTimeout)
 	if stop == 0 || c.started.Sub(begin) < acceptAll {
 		return true
 	}
-	expected := c.route.Objective
-	if c.service.Model != nil {
-		expected += time.Duration(c.in.ExpectedOutput) * typicalTokenTime
+	end := time.Unix(0, stop)
+	if c.service.Model == nil {
+		return c.deadline.Before(end)
 	}
-	return c.started.Add(expected).Before(time.Unix(0, stop))
+	longest := c.route.Objective + time.Duration(c.in.MaxOutputTokens)*longTokenTime
+	return c.in.MaxOutputTokens > 0 && c.started.Add(longest).Before(end)
 }
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -315,6 +315,9 @@
 			due: now.Add(uncertainTime / 2),
 		}
 	}
+	if r.err == nil {
+		p.g.directory.Observe(fleet.Observation{ID: in.ID, Layers: in.Layers.Intersect(r.move.Layers), At: now})
+	}
 	p.begun[in.ID] = begunOrders{in.StartedMS, count}
 	p.g.log.Log(e).Str("instance", in.ID).Str("failure_domain", in.Domain).
 		Int("from", r.move.Layers.From).Int("to", r.move.Layers.To).Int64("orders", r.before).Err(r.err).Send()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -117,9 +117,9 @@
 	})
 }
 
-// Guards against settings that the reference in docs/operations.md omits.
+// Guards against settings that the reference in docs/OPERATIONS.md omits.
 func TestReference(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	entry := newReader("e", []byte(example(t, "sawt-entry.ini")))
 	entry.entry()
