gateway: Let two gateways contend for the lease

Change: only the holder and the first two gateways by name that are alive call the store about the lease.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -36,9 +36,9 @@
 }
 
 const (
-	// watchSlack is how much longer than its wait a watch may take before its
+	// WatchSlack is how much longer than its wait a watch may take before its
 	// connection counts as silent.
-	watchSlack = 700 * time.Millisecond
+	WatchSlack = 600 * time.Millisecond
 	// listTimeout bounds a list.
 	listTimeout = 1500 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failure.
@@ -100,7 +100,7 @@
 }
 
 func (f *Feed[R]) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+WatchSlack)
 	defer cancel()
 	records, revision, err := f.source.Watch(ctx, f.revision, f.wait)
 	if errors.Is(err, ErrHistoryGone) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,7 +56,8 @@
 	admission *admission
 	budget    *repeatBudget
 	faults    *faultFinder
-	gossip    *gossip.Exchange
+	// exchange is nil until the gateway has joined its peers.
+	exchange atomic.Pointer[gossip.Exchange]
 
 	inFlight atomic.Int64
 	// stopAt is when a planned stop ends, in Unix nanoseconds; 0 if none began.
@@ -94,16 +95,18 @@
 // gateways returns how many gateways share the retry budget. Some that were
 // not heard may be cut off from this one and still send.
 func (g *Gateway) gateways() int {
-	if g.gossip == nil {
+	x := g.exchange.Load()
+	if x == nil {
 		return 1
 	}
-	return max(g.gossip.Alive(time.Now()), g.gossip.Known())
+	return max(x.Alive(time.Now()), x.Known())
 }
 
 const (
 	// watchWait is how long a watch for configurations or instances waits. One
-	// on a connection that went silent is noticed soon after it.
-	watchWait = 3 * time.Second
+	// that hears nothing, on a silent connection or because the store lost its
+	// history, is noticed feed.WatchSlack after it.
+	watchWait = 2500 * time.Millisecond
 	// staleAfter is the age from which the configuration may be outdated.
 	staleAfter = 4 * time.Second
 	// sweepInterval is the pause between two clean-ups.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	g.gossip = exchange
+	g.exchange.Store(exchange)
 	group.Go(func() error { return exchange.Run(ctx) })
 	group.Go(func() error {
 		g.register(ctx, gossip.Peer{Name: g.settings.Instance, Address: self})
@@ -47,6 +47,17 @@
 	return nil
 }
 
+// contenders is the number of gateways that try to take the lease of the
+// placement: the others would only cost calls to the store.
+const contenders = 2
+
+// Contends reports whether this gateway is one of those that try to take the
+// lease: the first by name of those that are alive.
+func (g *Gateway) Contends() bool {
+	x := g.exchange.Load()
+	return x == nil || x.Rank(time.Now()) < contenders
+}
+
 // register makes this gateway known to the others.
 func (g *Gateway) register(ctx context.Context, self gossip.Peer) {
 	for ctx.Err() == nil {
@@ -72,10 +83,12 @@
 type peerHandler struct{ g *Gateway }
 
 // Replace implements feed.Handler.
-func (h *peerHandler) Replace(list []gossip.PeerRecord, _ uint64, _ bool) { h.g.gossip.Update(list) }
+func (h *peerHandler) Replace(list []gossip.PeerRecord, _ uint64, _ bool) {
+	h.g.exchange.Load().Update(list)
+}
 
 // Update implements feed.Handler.
-func (h *peerHandler) Update(list []gossip.PeerRecord, _ uint64) { h.g.gossip.Update(list) }
+func (h *peerHandler) Update(list []gossip.PeerRecord, _ uint64) { h.g.exchange.Load().Update(list) }
 
 // Lost implements feed.Handler.
 func (h *peerHandler) Lost(err error) {
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -110,9 +110,7 @@
 			continue
 		}
 		now := time.Now()
-		if p.g.gossip != nil {
-			p.g.gossip.SetState(p.lease.StoreAway(), p.leading)
-		}
+		p.tellPeers()
 		if p.leads(now) && (!p.g.stale() || p.orphaned(now)) {
 			p.step(ctx, now)
 		}
@@ -138,7 +136,16 @@
 // reaches the store, and none of them leads. Nobody else can take the lease
 // then, and the last holder goes on.
 func (p *placer) orphaned(now time.Time) bool {
-	return p.lease.StoreAway() && p.g.gossip != nil && p.g.gossip.Orphaned(now)
+	x := p.g.exchange.Load()
+	return x != nil && p.lease.StoreAway() && x.Orphaned(now)
+}
+
+// tellPeers tells the other gateways whether this one leads or could. One that
+// does not contend can't take the lease, whether it reaches the store or not.
+func (p *placer) tellPeers() {
+	if x := p.g.exchange.Load(); x != nil {
+		x.SetState(p.lease.StoreAway() || !p.leading && !p.g.Contends(), p.leading)
+	}
 }
 
 // step completes the placement of each service in each failure domain.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -197,6 +197,19 @@
 	return x.storeAway
 }
 
+// Rank returns how many gateways that are alive have a lower name.
+func (x *Exchange) Rank(now time.Time) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	rank := 0
+	for name, at := range x.heard {
+		if now.Sub(at) < aliveWithin && name < x.name {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Known returns the number of gateways that are registered, with this one.
 func (x *Exchange) Known() int {
 	x.mu.Lock()
