--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -36,8 +36,10 @@
 	// those that it was sent to.
 	ran   []string
 	sends int
-	// events counts the events of a stream that the client got.
-	events int
+	// events counts the events of a stream that the client got, firstEvent is
+	// the time until the first, longestGap the longest pause between two.
+	events                 int
+	firstEvent, longestGap time.Duration
 	// answered is the status sent to the client, 0 before.
 	answered int
 	// lastPath and waited explain the outcome in the log.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -34,7 +34,8 @@
 	if c.sends == 0 {
 		return
 	}
-	c.line(events.RequestDone).Int("events", c.events).Int("status", c.answered).Dur("waited_ms", c.waited).
+	c.line(events.RequestDone).Int("events", c.events).Dur("first_ms", c.firstEvent).
+		Dur("gap_ms", c.longestGap).Int("status", c.answered).Dur("waited_ms", c.waited).
 		Str("path", formatPath(c.lastPath)).Strs("ran", c.ran).Send()
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -184,17 +184,25 @@
 	if err := s.control.Flush(); err != nil {
 		return errClientGone
 	}
-	if s.events == 0 {
-		s.g.metrics.firstEvent(time.Since(s.started))
-	}
-	s.events++
-	s.lastSent = time.Now()
+	s.noteEvent(time.Now())
 	if id != "" {
 		s.lastEvent = id
 	}
 	return nil
 }
 
+// noteEvent keeps the times that explain a late stream.
+func (s *stream) noteEvent(now time.Time) {
+	if s.events == 0 {
+		s.firstEvent = now.Sub(s.started)
+		s.g.metrics.firstEvent(s.firstEvent)
+	} else {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastSent))
+	}
+	s.events++
+	s.lastSent = now
+}
+
 // stalled is called while a stream is silent. An error moves the stream.
 func (s *stream) stalled(waited time.Duration) error {
 	if waited >= stallLimit && s.attemptsLeftAfter(s.grant.Path.First().Instance) && s.elsewhere() {
