--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -115,10 +115,10 @@
 }
 
 // put keeps a connection for further requests.
-func (p *Pool) put(c *conn, lifetime time.Duration) {
+func (p *Pool) put(c *conn, keep time.Duration) {
 	c.onStall, c.deadline = nil, time.Time{}
 	now := time.Now()
-	c.idleSince, c.idleUntil, c.used = now, now.Add(min(lifetime, idleLimit)), true
+	c.idleSince, c.idleUntil, c.used = now, now.Add(min(keep, idleLimit)), true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= idlePerAddress {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,10 +66,11 @@
 	mu sync.Mutex
 	// configSeen is when the store last confirmed the configuration.
 	configSeen time.Time
-	// members is when an instance was last added or removed.
-	members    time.Time
-	listed     bool
-	configured bool
+	// firstMember is when the first instance was added, members when one was
+	// last added or removed.
+	firstMember, members time.Time
+	listed               bool
+	configured           bool
 }
 
 // New returns a gateway.
@@ -126,11 +127,12 @@
 	return time.Since(g.configSeen) > staleAfter
 }
 
-// membersChanged returns when an instance was last added or removed.
-func (g *Gateway) membersChanged() time.Time {
+// membersChanged returns when the first instance was added, and when one was
+// last added or removed.
+func (g *Gateway) membersChanged() (first, latest time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members
+	return g.firstMember, g.members
 }
 
 // ready reports whether the gateway takes clients.
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -100,6 +100,9 @@
 	if members {
 		h.g.mu.Lock()
 		h.g.members = time.Now()
+		if h.g.firstMember.IsZero() {
+			h.g.firstMember = h.g.members
+		}
 		h.g.mu.Unlock()
 	}
 }
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -18,8 +18,11 @@
 	// resultBacklog is the number of outcomes of orders that may wait.
 	resultBacklog = 256
 	// settleTime is how long the list of instances has to stand still before
-	// the first orders of an empty deployment.
-	settleTime = 1500 * time.Millisecond
+	// the first orders of an empty deployment, settleLimit the time after the
+	// first instance at which they are given anyway: a large deployment
+	// registers for long.
+	settleTime  = 1500 * time.Millisecond
+	settleLimit = 4 * time.Second
 	// orderTimeout bounds one order.
 	orderTimeout = time.Second
 	// uncertainTime is how long an order without an answer counts as held.
@@ -220,14 +223,16 @@
 }
 
 // standsStill reports whether orders may be given: at once if some instance
-// holds layers, else after the list has not changed for settleTime.
+// holds layers, else after the list has not changed for settleTime, at most
+// settleLimit after its first instance.
 func (p *placer) standsStill(byDomain map[string][]fleet.Instance, now time.Time) bool {
 	for _, list := range byDomain {
 		if slices.ContainsFunc(list, func(in fleet.Instance) bool { return in.Layers.Len() > 0 }) {
 			return true
 		}
 	}
-	return len(p.pending) > 0 || now.Sub(p.g.membersChanged()) >= settleTime
+	first, latest := p.g.membersChanged()
+	return len(p.pending) > 0 || now.Sub(latest) >= settleTime || now.Sub(first) >= settleLimit
 }
 
 // place gives the orders that complete one failure domain, all at once.
