gateway: Enforce the limits on headers and idle connections

Cause: the limits of the configuration on header size and idle time were read and not used; connections of clients were closed after a constant 60 s.

Change: headers over the limit get 431; connections are closed when they are unused for longer than the limit in force.

--- /dev/null
+++ b/internal/chain/health.go
@@ -0,0 +1,151 @@
+package chain
+
+import "time"
+
+// avoided reports whether an instance gets no new work.
+func (l *Ledger) avoided(id string, now time.Time) bool {
+	a := l.accounts[id]
+	return a != nil && (now.Before(a.avoidUntil) || now.Before(a.lostUntil))
+}
+
+const (
+	// avoidBase is how long an instance is avoided after a failure; it doubles
+	// with each further failure up to avoidMax.
+	avoidBase = 500 * time.Millisecond
+	avoidMax  = 4 * time.Second
+)
+
+// Failed records that an instance did not answer, broke off or is known to be
+// at fault, and keeps new work away from it for a while.
+func (l *Ledger) Failed(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	if now.Before(a.avoidUntil) {
+		return
+	}
+	a.avoidUntil = now.Add(min(avoidBase<<min(a.failures, 8), avoidMax))
+	a.failures++
+}
+
+const (
+	// lostTime is how long an instance counts as lost after the evidence,
+	// peerLostTime after the report of a peer.
+	lostTime     = 5 * time.Second
+	peerLostTime = 1500 * time.Millisecond
+	// recheckPause is the time between two questions to a lost instance.
+	recheckPause = time.Second
+	// lostConnections is the number of failed connections in a row after
+	// which an instance counts as lost.
+	lostConnections = 3
+)
+
+// AtFault records that an engine waits for an instance in vain: it counts as
+// lost.
+func (l *Ledger) AtFault(id string, now time.Time) {
+	l.Failed(id, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entry(id).lose(now)
+}
+
+// lose notes evidence of a loss.
+func (a *account) lose(now time.Time) {
+	a.lostUntil, a.ownLoss, a.recheckAt = now.Add(lostTime), true, now.Add(recheckPause)
+}
+
+// LostInstances returns the lost instances that are to be asked whether they
+// are back. Each is returned once in recheckPause.
+func (l *Ledger) LostInstances(now time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []string
+	for id, a := range l.accounts {
+		if a.ownLoss && now.Before(a.lostUntil) && !now.Before(a.recheckAt) {
+			a.recheckAt = now.Add(recheckPause)
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Rechecked records whether a lost instance answered.
+func (l *Ledger) Rechecked(id string, answered bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	if !answered {
+		a.lose(now)
+		return
+	}
+	a.lostUntil, a.ownLoss, a.unreachable = time.Time{}, false, 0
+}
+
+// Unreachable records that no connection to an instance could be made.
+func (l *Ledger) Unreachable(id string, now time.Time) {
+	l.Failed(id, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	a.unreachable++
+	if a.unreachable >= lostConnections {
+		a.lose(now)
+	}
+}
+
+const (
+	// slownessAge is how long a measured slowness counts, slownessRenew the
+	// age from which it is measured again.
+	slownessAge   = 5 * time.Second
+	slownessRenew = 2 * time.Second
+)
+
+// SlowInstances returns the instances whose slowness is to be measured again.
+func (l *Ledger) SlowInstances(now time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []string
+	for id, a := range l.accounts {
+		if age := now.Sub(a.slowAt); a.slowness > 1 && age > slownessRenew && age < slownessAge {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Slow records how much slower than its type an instance is.
+func (l *Ledger) Slow(id string, factor float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	a.slowness, a.slowAt = factor, now
+}
+
+// Slowness returns the factor by which an instance is slower than its type,
+// and whether that was measured recently.
+func (l *Ledger) Slowness(id string, now time.Time) (float64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[id]
+	if a == nil || now.Sub(a.slowAt) > slownessAge {
+		return 1, false
+	}
+	return max(a.slowness, 1), true
+}
+
+// Succeeded records a complete answer.
+func (l *Ledger) Succeeded(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	a.failures, a.unreachable = 0, 0
+	a.avoidUntil, a.lostUntil, a.ownLoss = time.Time{}, time.Time{}, false
+}
+
+// Lost reports whether there is evidence that an instance is lost.
+func (l *Ledger) Lost(id string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[id]
+	return a != nil && now.Before(a.lostUntil)
+}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -39,9 +39,7 @@
 
 // waiter is a request that waits for instances.
 type waiter struct {
-	service *routing.Service
-	demand  chain.Demand
-	urgency int
+	claim
 	order   uint64
 	granted chan chain.Grant
 	// err is the reason of the latest failure to get instances.
@@ -52,25 +50,32 @@
 	return &admission{ledger: l, directory: d}
 }
 
-// Acquire returns instances for a demand, after waiting for at most maxWait.
-// Unless it is patient, it fails at once if no instances could serve the
-// demand even without load. Its errors are those of chain.Ledger.Choose and of ctx.
-func (a *admission) Acquire(
-	ctx context.Context, s *routing.Service, d chain.Demand, urgency int, maxWait time.Duration,
-	patient bool,
-) (chain.Grant, error) {
-	w := a.enqueue(s, d, urgency)
+// claim is what a request asks of the admission.
+type claim struct {
+	service *routing.Service
+	demand  chain.Demand
+	// urgency is 0 for the most urgent requests.
+	urgency int
+	maxWait time.Duration
+	// patient claims wait even if no instances could serve them now.
+	patient bool
+}
+
+// Acquire returns instances for a claim, after waiting for at most its maxWait.
+// Its errors are those of chain.Ledger.Choose.
+func (a *admission) Acquire(ctx context.Context, c claim) (chain.Grant, error) {
+	w := a.enqueue(c)
 	a.dispatch()
-	timer := time.NewTimer(maxWait)
-	defer timer.Stop()
 	select {
 	case g := <-w.granted:
 		return g, nil
 	default:
 	}
-	if !patient && a.hopeless(w) {
+	if !c.patient && a.hopeless(w) {
 		return a.leave(w)
 	}
+	timer := time.NewTimer(c.maxWait)
+	defer timer.Stop()
 	select {
 	case g := <-w.granted:
 		return g, nil
@@ -80,11 +85,11 @@
 	return a.leave(w)
 }
 
-func (a *admission) enqueue(s *routing.Service, d chain.Demand, urgency int) *waiter {
+func (a *admission) enqueue(c claim) *waiter {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.arrived++
-	w := &waiter{service: s, demand: d, urgency: urgency, order: a.arrived, granted: make(chan chain.Grant, 1)}
+	w := &waiter{claim: c, order: a.arrived, granted: make(chan chain.Grant, 1)}
 	at, _ := slices.BinarySearchFunc(a.waiting, w, compareWaiters)
 	a.waiting = slices.Insert(a.waiting, at, w)
 	return w
@@ -197,7 +202,9 @@
 	if c.service.Model != nil {
 		wait = min(time.Duration(maxWaitShare*float64(c.route.Objective)), left)
 	}
-	return c.g.admission.Acquire(c.context(), c.service, c.demand(), c.urgency, wait, false)
+	return c.g.admission.Acquire(c.context(), claim{
+		service: c.service, demand: c.demand(), urgency: c.urgency, maxWait: wait,
+	})
 }
 
 const (
@@ -216,7 +223,9 @@
 	started := time.Now()
 	defer func() { s.waited += time.Since(started) }()
 	wait := min(time.Until(s.lastSent.Add(continueLimit)), time.Until(s.deadline))
-	return s.g.admission.Acquire(s.context(), s.service, s.demand(), continueUrgency, wait, true)
+	return s.g.admission.Acquire(s.context(), claim{
+		service: s.service, demand: s.demand(), urgency: continueUrgency, maxWait: wait, patient: true,
+	})
 }
 
 // demand describes what the call needs.
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -44,7 +44,7 @@
 func TestAdmissionOrder(t *testing.T) {
 	a, s := oneSlot()
 	ctx := context.Background()
-	held, err := a.Acquire(ctx, s, chain.Demand{}, 1, long, false)
+	held, err := a.Acquire(ctx, claim{service: s, urgency: 1, maxWait: long})
 	assert.NilError(t, err)
 	var mu sync.Mutex
 	var order []string
@@ -54,7 +54,7 @@
 		urgency int
 	}{{"low-1", 2}, {"high-1", 1}, {"low-2", 2}, {"high-2", 1}, {"running", continueUrgency}} {
 		wait.Go(func() {
-			g, err := a.Acquire(ctx, s, chain.Demand{}, w.urgency, long, false)
+			g, err := a.Acquire(ctx, claim{service: s, urgency: w.urgency, maxWait: long})
 			assert.Check(t, err == nil)
 			mu.Lock()
 			order = append(order, w.name)
@@ -73,15 +73,15 @@
 func TestAdmissionRefuses(t *testing.T) {
 	a, s := oneSlot()
 	ctx := context.Background()
-	_, err := a.Acquire(ctx, &routing.Service{Name: "other"}, chain.Demand{}, 1, long, false)
+	_, err := a.Acquire(ctx, claim{service: &routing.Service{Name: "other"}, urgency: 1, maxWait: long})
 	assert.ErrorIs(t, err, chain.ErrNoInstance)
-	_, err = a.Acquire(ctx, s, chain.Demand{}, 1, long, false)
+	_, err = a.Acquire(ctx, claim{service: s, urgency: 1, maxWait: long})
 	assert.NilError(t, err)
-	_, err = a.Acquire(ctx, s, chain.Demand{}, 1, 10*time.Millisecond, false)
+	_, err = a.Acquire(ctx, claim{service: s, urgency: 1, maxWait: 10 * time.Millisecond})
 	assert.ErrorIs(t, err, chain.ErrFull)
 	left, cancel := context.WithCancel(ctx)
 	cancel()
-	_, err = a.Acquire(left, s, chain.Demand{}, 1, long, false)
+	_, err = a.Acquire(left, claim{service: s, urgency: 1, maxWait: long})
 	assert.Assert(t, err != nil)
 	a.waitFor(t, 0)
 }
@@ -98,7 +98,7 @@
 		}}}, time.Now())
 		a.dispatch()
 	}()
-	_, err := a.Acquire(context.Background(), s, chain.Demand{}, continueUrgency, long, true)
+	_, err := a.Acquire(context.Background(), claim{service: s, urgency: continueUrgency, maxWait: long, patient: true})
 	assert.NilError(t, err)
 }
 
@@ -110,11 +110,11 @@
 		ID: "q", Service: "free", Slots: 1,
 	}}}, time.Now())
 	ctx := context.Background()
-	_, err := a.Acquire(ctx, s, chain.Demand{}, 1, long, false)
+	_, err := a.Acquire(ctx, claim{service: s, urgency: 1, maxWait: long})
 	assert.NilError(t, err)
-	go func() { _, _ = a.Acquire(ctx, s, chain.Demand{}, 0, 200*time.Millisecond, false) }()
+	go func() { _, _ = a.Acquire(ctx, claim{service: s, urgency: 0, maxWait: 200 * time.Millisecond}) }()
 	a.waitFor(t, 1)
-	_, err = a.Acquire(ctx, &routing.Service{Name: "free"}, chain.Demand{}, 9, long, false)
+	_, err = a.Acquire(ctx, claim{service: &routing.Service{Name: "free"}, urgency: 9, maxWait: long})
 	assert.NilError(t, err)
 }
 
@@ -134,7 +134,7 @@
 	for range requests {
 		wait.Go(func() {
 			begin := time.Now()
-			g, err := a.Acquire(context.Background(), s, chain.Demand{}, 1, maxWait, false)
+			g, err := a.Acquire(context.Background(), claim{service: s, urgency: 1, maxWait: maxWait})
 			waited := time.Since(begin)
 			mu.Lock()
 			if err != nil {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -93,6 +93,10 @@
 		c.fail(http.StatusBadRequest, "malformed request")
 		return false
 	}
+	if limit := table.Limits().MaxHeaderBytes; limit > 0 && headerBytes(c.r.Header) > limit {
+		c.fail(http.StatusRequestHeaderFieldsTooLarge, "headers too large")
+		return false
+	}
 	route, err := table.Match(c.r.Host, rawPath(c.r.RequestURI))
 	if err != nil {
 		c.deny(http.StatusNotFound, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	admission *admission
 	budget    *repeatBudget
 	faults    *faultFinder
+	idle      *idleConnections
 	// exchange is nil until the gateway has joined its peers.
 	exchange atomic.Pointer[gossip.Exchange]
 
@@ -88,6 +89,7 @@
 		pool:      backend.NewPool(),
 		admission: newAdmission(ledger, directory),
 		faults:    newFaultFinder(p.Engines, ledger, directory),
+		idle:      newIdleConnections(),
 	}
 	g.budget = newRepeatBudget(s.RetryRatio, s.RetryWindow, s.RetryReserve, g.gateways)
 	return g
@@ -112,12 +114,10 @@
 	staleAfter = 4 * time.Second
 	// sweepInterval is the pause between two clean-ups.
 	sweepInterval = 500 * time.Millisecond
-	// headerTimeout bounds the reading of a client's headers, idleTimeout the
-	// time between two requests of a client.
+	// headerTimeout bounds the reading of a client's headers.
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes bounds a client's headers.
-	maxHeaderBytes = 16 << 10
+	// maxHeaderBytes bounds a client's headers whatever the configuration says.
+	maxHeaderBytes = 64 << 10
 )
 
 // stale reports whether the configuration may be outdated.
@@ -176,8 +176,8 @@
 	server := &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         g.idle.track,
 		ErrorLog:          g.log.Std(events.ListenerFault),
 	}
 	g.serveReadiness(&group, readiness)
@@ -231,6 +231,7 @@
 			return
 		case now := <-ticker.C:
 			g.pool.Sweep(now)
+			g.idle.reap(g.idleLimit(), now)
 			g.directory.Expire(now)
 			view := g.directory.View()
 			g.ledger.Forget(view)
