gateway: Return the room of streams that are cut

Cause: a cut stream ends its handler by a panic, and what it was granted stayed charged to its instances for good; each cut shrank the room of the deployment.

Change: grants are returned by a deferred call.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -36,14 +36,18 @@
 			c.refuseUnadmitted(err)
 			return
 		}
-		again := c.tryPlain(grant)
-		c.g.admission.Release(grant)
-		if !again {
+		if !c.tryGranted(grant) {
 			return
 		}
 	}
 }
 
+// tryGranted is tryPlain with the return of what was granted.
+func (c *call) tryGranted(grant chain.Grant) bool {
+	defer c.g.admission.Release(grant)
+	return c.tryPlain(grant)
+}
+
 // tryPlain sends the request to one instance. It returns true if another
 // instance is to be tried.
 func (c *call) tryPlain(grant chain.Grant) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,14 +56,19 @@
 			return
 		}
 		s.grant = grant
-		again := s.try()
-		c.g.admission.Release(s.grant)
-		if !again {
+		if !s.tryGranted() {
 			return
 		}
 	}
 }
 
+// tryGranted is try with the return of what was granted, also if the stream is
+// cut, which panics. A detour changes the grant meanwhile.
+func (s *stream) tryGranted() bool {
+	defer func() { s.g.admission.Release(s.grant) }()
+	return s.try()
+}
+
 // unadmitted ends a stream that no instance can serve or continue.
 func (s *stream) unadmitted(err error) {
 	if s.answered == 0 {
