--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -261,8 +261,6 @@
 func (c *call) refuseUnadmitted(err error) {
 	switch {
 	case c.ended():
-	case len(c.ran) > 0 && !c.route.Repeatable():
-		c.fail(http.StatusBadGateway, err.Error())
 	case len(c.ran) > 0 && c.expired():
 		c.fail(http.StatusGatewayTimeout, err.Error())
 	case len(c.ran) > 0:
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -171,7 +171,7 @@
 		c.line(events.RequestRepeated).Str("instance", culprit).Int("status", status).Bool("not_run", true).Send()
 		return true
 	}
-	if len(c.ran) > 0 && !c.route.Repeatable() {
+	if len(c.ran) > 0 {
 		c.fail(http.StatusBadGateway, "refused after an attempt that may have run")
 		return false
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -41,7 +41,9 @@
 
 func (noEngines) Report(context.Context, string) (Report, error) { return Report{}, errNoEngine }
 
-func (noEngines) Place(context.Context, fleet.Instance, fleet.LayerRange, int64) error { return errNoEngine }
+func (noEngines) Place(context.Context, fleet.Instance, fleet.LayerRange, int64) error {
+	return errNoEngine
+}
 
 func (noEngines) Repath(context.Context, string, string, chain.Path) error { return errNoEngine }
 
