fleet: Bound the grace time of an instance that is removed after an outage

Change: the grace time ends 2 s after the return of the store, and 1.2 s after a removal that is seen later than the first list.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,9 +59,14 @@
 	changed chan struct{}
 }
 
-// lapseGrace is how long an instance that is missing after an outage of the
-// store may take to register again before it counts as gone.
-const lapseGrace = 2 * time.Second
+const (
+	// lapseGrace is how long after the return of the store an instance that is
+	// missing may take to register again before it counts as gone.
+	lapseGrace = 2 * time.Second
+	// removalGrace bounds that for an instance which is removed after the
+	// return: a leaving instance must get no work 2 s after its removal.
+	removalGrace = 1200 * time.Millisecond
+)
 
 // Directory keeps the newest view. It is safe for concurrent use.
 type Directory struct {
@@ -224,7 +229,7 @@
 	}
 	if known, ok := next[r.ID]; ok && !known.Draining && now.Sub(d.regained) < lapseGrace {
 		if _, waiting := d.lapsed[r.ID]; !waiting {
-			d.lapsed[r.ID] = now.Add(lapseGrace)
+			d.lapsed[r.ID] = d.lapseEnd(now)
 		}
 		return
 	}
@@ -232,6 +237,17 @@
 	delete(d.lapsed, r.ID)
 }
 
+// lapseEnd returns until when an instance is kept that is found missing at now,
+// shortly after an outage. One that is missing in the first list had lapsed
+// before; one that is removed later may be leaving.
+func (d *Directory) lapseEnd(now time.Time) time.Time {
+	end := d.regained.Add(lapseGrace)
+	if removal := now.Add(removalGrace); now.After(d.regained) && removal.Before(end) {
+		return removal
+	}
+	return end
+}
+
 func (d *Directory) publish(next map[string]Instance) {
 	old := d.view.Load()
 	d.view.Store(newView(next))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -90,3 +90,25 @@
 		t.Fatal("the change was not signalled")
 	}
 }
+
+// Guards against an instance that is removed shortly after an outage and kept
+// too long: it may be leaving (DRAIN on sawt-muscat, hunt-7900-11: the grace
+// time was counted from the removal).
+func TestRemovalAfterAnOutageIsInForceInTime(t *testing.T) {
+	d := NewDirectory()
+	d.Replace([]Record{present("a", 1, nil)}, false, start)
+	regained := start.Add(time.Minute)
+	d.Replace([]Record{present("a", 2, nil)}, true, regained)
+	for _, tt := range []struct{ removed, gone time.Duration }{
+		{1500 * time.Millisecond, lapseGrace},
+		{200 * time.Millisecond, 200*time.Millisecond + removalGrace},
+	} {
+		d.Update([]Record{present("a", 3, nil)}, regained)
+		d.Update([]Record{{ID: "a", Revision: 4}}, regained.Add(tt.removed))
+		d.Expire(regained.Add(tt.gone - time.Millisecond))
+		assert.Assert(t, known(d, "a"))
+		d.Expire(regained.Add(tt.gone))
+		assert.Assert(t, !known(d, "a"))
+		d.revs["a"] = 2
+	}
+}
