chain: Use avoided instances where nothing else serves a model

Failures of later parts were never forgotten, since only the first part of a path was credited with an answer.

Change: a search without a path is repeated with the avoided instances, lost ones excepted; a complete stream counts for all parts of its path.

--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -234,3 +234,34 @@
 	_, err = l.Choose(v, s, Demand{Domain: "a"}, start)
 	assert.NilError(t, err)
 }
+
+// Guards against a model that is refused although its layers are held by
+// instances that live: one of them refused a request for lack of memory.
+func TestAvoidanceNeverEmptiesAModel(t *testing.T) {
+	v, l := view(twoChains...), NewLedger()
+	l.Failed("a1", start)
+	l.Failed("b2", start)
+	g, err := l.Choose(v, service(), Demand{Tokens: 900, Domain: "a"}, start)
+	assert.NilError(t, err)
+	assert.NilError(t, covers(v, g.Path, 80))
+	l.AtFault("a1", start)
+	l.AtFault("b2", start)
+	_, err = l.Choose(v, service(), Demand{Tokens: 900, Domain: "a"}, start)
+	assert.ErrorIs(t, err, ErrNoInstance)
+}
+
+// Guards against failures of later parts that add up over a day, until one
+// refusal keeps an instance out for seconds.
+func TestSuccessCountsForAllParts(t *testing.T) {
+	v, l := view(twoChains...), NewLedger()
+	g, err := l.Choose(v, service(), Demand{Tokens: 900, Domain: "a"}, start)
+	assert.NilError(t, err)
+	at := start
+	for range 5 {
+		l.Failed("a2", at)
+		l.SucceededPath(g.Path)
+		at = at.Add(time.Minute)
+	}
+	l.Failed("a2", at)
+	assert.Assert(t, !l.avoided("a2", at.Add(avoidBase)))
+}
--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -8,6 +8,12 @@
 	return a != nil && (now.Before(a.avoidUntil) || now.Before(a.lostUntil))
 }
 
+// lost reports whether there is evidence that an instance is lost.
+func (l *Ledger) lost(id string, now time.Time) bool {
+	a := l.accounts[id]
+	return a != nil && now.Before(a.lostUntil)
+}
+
 const (
 	// avoidBase is how long an instance is avoided after a failure; it doubles
 	// with each further failure up to avoidMax.
@@ -133,10 +139,24 @@
 	return max(a.slowness, 1), true
 }
 
-// Succeeded records a complete answer.
+// Succeeded records a complete answer of an instance.
 func (l *Ledger) Succeeded(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.succeeded(id)
+}
+
+// SucceededPath records a complete answer, to which all parts of a path have
+// contributed.
+func (l *Ledger) SucceededPath(p Path) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, part := range p {
+		l.succeeded(part.Instance)
+	}
+}
+
+func (l *Ledger) succeeded(id string) {
 	a := l.entry(id)
 	a.failures, a.unreachable = 0, 0
 	a.avoidUntil, a.lostUntil, a.ownLoss = time.Time{}, time.Time{}, false
@@ -146,6 +166,5 @@
 func (l *Ledger) Lost(id string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.accounts[id]
-	return a != nil && now.Before(a.lostUntil)
+	return l.lost(id, now)
 }
--- a/internal/chain/ledger.go
+++ b/internal/chain/ledger.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -115,11 +116,23 @@
 	return true
 }
 
+// choosePath uses avoided instances only if there is no path without them, so
+// that avoidance never empties a service.
 func (l *Ledger) choosePath(view *fleet.View, s *routing.Service, d Demand, now time.Time) (Grant, error) {
+	g, err := l.fastestPath(view, s, d, false, now)
+	if errors.Is(err, ErrNoInstance) {
+		return l.fastestPath(view, s, d, true, now)
+	}
+	return g, err
+}
+
+func (l *Ledger) fastestPath(
+	view *fleet.View, s *routing.Service, d Demand, avoided bool, now time.Time,
+) (Grant, error) {
 	var bestPath Path
 	best, exists := never, false
 	for _, domain := range domains(view, s.Name) {
-		list := without(l.candidates(view, s, domain, now), d.Avoid)
+		list := without(l.candidates(view, s, domain, avoided, now), d.Avoid)
 		all := fleet.LayerRange{To: s.Model.Layers}
 		path, cost, ok := shortest(list, all, float64(d.Tokens))
 		if !ok {
@@ -207,7 +220,7 @@
 	for _, part := range g.Path {
 		used = append(used, part.Instance)
 	}
-	list := without(l.candidates(view, s, domain, now), used)
+	list := without(l.candidates(view, s, domain, false, now), used)
 	gap := fleet.LayerRange{From: g.Path[at].From, To: g.Path[at].To}
 	detour, _, ok := shortest(list, gap, g.tokens)
 	if !ok || len(g.Path)+len(detour) > maxParts {
--- a/internal/chain/path.go
+++ b/internal/chain/path.go
@@ -55,14 +55,17 @@
 }
 
 // candidates returns the usable instances of a model's service in one domain.
-func (l *Ledger) candidates(view *fleet.View, s *routing.Service, domain string, now time.Time) []candidate {
+// Those that are avoided count if avoided is true; lost ones never do.
+func (l *Ledger) candidates(
+	view *fleet.View, s *routing.Service, domain string, avoided bool, now time.Time,
+) []candidate {
 	var list []candidate
 	for _, in := range view.Instances {
 		if in.Service != s.Name || in.Domain != domain || in.Draining || in.Layers.Len() == 0 {
 			continue
 		}
 		kind, ok := s.Model.Accelerators[in.Accelerator]
-		if !ok || l.avoided(in.ID, now) {
+		if !ok || l.lost(in.ID, now) || !avoided && l.avoided(in.ID, now) {
 			continue
 		}
 		a := l.account(in.ID, now)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -114,7 +114,7 @@
 	err = s.relay(x.Response.Body)
 	if err == nil {
 		x.Finish()
-		s.g.ledger.Succeeded(first.Instance)
+		s.g.ledger.SucceededPath(s.grant.Path)
 		return false
 	}
 	x.Abort()
