placement: Give up layers of a repair when their holder is back

It was the only holder of its other layers, and an improvement was planned as if an instance serves nothing while it moves.

Change: during a move an instance counts with the layers that it keeps, and the part of its own range that is worth most is among the candidates.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -107,6 +107,9 @@
 
 func (p *plan) slow(in fleet.Instance) bool { return p.kind(in).StepFactor >= slowFactor*p.fastest }
 
+// all returns the layers of the model.
+func (p *plan) all() fleet.LayerRange { return fleet.LayerRange{To: p.model.Layers} }
+
 func (p *plan) hold(id string, layers fleet.LayerRange) { p.held[id] = layers }
 
 // chooseTokens takes the largest KV cache with which the fast instances still
@@ -179,7 +182,7 @@
 		if p.held[in.ID].Len() > 0 {
 			continue
 		}
-		if layers, gain := p.best(in, p.size(in)); gain > 0 {
+		if layers, gain := p.best(in, p.size(in), p.all()); gain > 0 {
 			return Move{in, layers}, true
 		}
 	}
@@ -250,7 +253,7 @@
 		}
 	}
 	for _, size := range []int{p.size(in), largest} {
-		if layers, _ := p.best(in, size); layers.Len() > 0 {
+		if layers, _ := p.best(in, size, p.all()); layers.Len() > 0 {
 			ranges = append(ranges, layers)
 		}
 	}
@@ -309,29 +312,34 @@
 	var best Move
 	bestRate := 0.0
 	for _, in := range p.instances {
-		old := p.held[in.ID]
-		p.hold(in.ID, fleet.LayerRange{})
-		complete := p.missing() == 0
-		p.hold(in.ID, old)
-		if !complete {
-			continue
-		}
-		layers, gain := p.best(in, p.size(in))
-		if gain <= worthwhile {
-			continue
-		}
-		if rate := gain / (1 + p.moveTime(in, layers).Seconds()); rate > bestRate {
-			best, bestRate = Move{in, layers}, rate
+		size, held := p.size(in), p.held[in.ID]
+		for _, within := range []fleet.LayerRange{p.all(), held} {
+			layers, gain := p.best(in, size, within)
+			if gain <= worthwhile || !p.completeDuring(in, layers) {
+				continue
+			}
+			if rate := gain / (1 + p.moveTime(in, layers).Seconds()); rate > bestRate {
+				best, bestRate = Move{in, layers}, rate
+			}
 		}
 	}
 	return best, bestRate > 0
 }
 
+// completeDuring reports whether each layer has a holder while an instance
+// moves: it goes on with the layers that it keeps.
+func (p *plan) completeDuring(in fleet.Instance, layers fleet.LayerRange) bool {
+	old := p.held[in.ID]
+	defer p.hold(in.ID, old)
+	p.hold(in.ID, old.Intersect(layers))
+	return p.missing() == 0
+}
+
 // best returns the range of a length that is worth most for an instance in
-// place of what it holds, and what the placement gains by it. Of equal ranges
-// the lowest is taken.
-func (p *plan) best(in fleet.Instance, length int) (fleet.LayerRange, float64) {
-	length = min(length, p.model.Layers)
+// place of what it holds, and what the placement gains by it. The range lies
+// within another one; of equal ranges the lowest is taken.
+func (p *plan) best(in fleet.Instance, length int, within fleet.LayerRange) (fleet.LayerRange, float64) {
+	length = min(length, within.Len())
 	if length <= 0 {
 		return fleet.LayerRange{}, 0
 	}
@@ -350,7 +358,7 @@
 		}
 	}
 	best, bestGain := fleet.LayerRange{}, 0.0
-	for from := 0; from+length <= len(layers); from++ {
+	for from := within.From; from+length <= within.To; from++ {
 		const tie = 1e-9
 		if gain := gains[from+length] - gains[from] - loss; best.Len() == 0 || gain > bestGain+tie {
 			best, bestGain = fleet.LayerRange{From: from, To: from + length}, gain
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -142,3 +142,25 @@
 	}
 	assert.Equal(t, len(Plan(m, list, pending)), 0)
 }
+
+// Guards against an instance that keeps the layers of a neighbour after that
+// one is back, and so has room for few requests for good.
+func TestPlanGivesUpLayersOfARepair(t *testing.T) {
+	list := []fleet.Instance{
+		{ID: "large-0", Accelerator: "large", Layers: fleet.LayerRange{From: 0, To: 25}},
+		{ID: "large-1", Accelerator: "large", Layers: fleet.LayerRange{From: 25, To: 50}},
+		{ID: "medium-0", Accelerator: "medium", Layers: fleet.LayerRange{From: 45, To: 65}},
+		{ID: "medium-1", Accelerator: "medium", Layers: fleet.LayerRange{From: 65, To: 80}},
+	}
+	for i := range 5 {
+		list = append(list, fleet.Instance{
+			ID: fmt.Sprintf("small-%d", i), Accelerator: "small", Layers: fleet.LayerRange{From: 9 * i, To: 9*i + 9},
+		})
+	}
+	list, _ = settle(t, testModel(), list)
+	for _, in := range list {
+		if in.ID == "medium-0" {
+			assert.DeepEqual(t, in.Layers, fleet.LayerRange{From: 50, To: 65})
+		}
+	}
+}
