chain: Count an instance that refuses a prompt as full, not as faulty

Cause: an engine that is short of memory answers 503 for requests that it can't place; it was avoided as a whole for 0.5 to 4 s and the request never came back to it, so that 'instances refuse the request' and 'no instance' were final answers while its streams ended one after the other.

Change: a refusal limits the instance to 0.95 of the work that it had then, for 0.5 s, doubled with each further one; requests wait for room as for others. The room of an overcharged instance is 0, not negative: before, its paths seemed not to exist and requests were refused at once.

Tests fail without the change.

--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -265,3 +265,43 @@
 	l.Failed("a2", at)
 	assert.Assert(t, !l.avoided("a2", at.Add(avoidBase)))
 }
+
+// Guards against an instance that is short of memory and taken for a faulty
+// one: it serves what it has, and has room again when some of that ends.
+func TestRefusalCountsAsFull(t *testing.T) {
+	v, l := view(twoChains[:4]...), NewLedger()
+	demand := Demand{Tokens: 900, Domain: "a"}
+	var grants []Grant
+	for range 10 {
+		g, err := l.Choose(v, service(), demand, start)
+		assert.NilError(t, err)
+		grants = append(grants, g)
+	}
+	l.Refused("a2", start)
+	_, err := l.Choose(v, service(), demand, start)
+	assert.ErrorIs(t, err, ErrFull)
+	for _, g := range grants[:4] {
+		l.Release(g)
+	}
+	_, err = l.Choose(v, service(), demand, start)
+	assert.NilError(t, err)
+	for range 3 {
+		g, err := l.Choose(v, service(), demand, start.Add(fullTime))
+		assert.NilError(t, err)
+		grants = append(grants, g)
+	}
+}
+
+// Guards against an instance that refuses everything and is asked again and
+// again because it has no work.
+func TestRefusalsInARowLastLonger(t *testing.T) {
+	l := NewLedger()
+	at := start
+	for range 4 {
+		l.Refused("a2", at)
+		at = at.Add(fullTime)
+	}
+	assert.Assert(t, l.full("a2", at))
+	l.Succeeded("a2")
+	assert.Assert(t, !l.full("a2", at))
+}
--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -34,6 +34,38 @@
 	a.failures++
 }
 
+const (
+	// fullTime is how long an instance that refused a request counts as full;
+	// it doubles with each further refusal up to fullTimeMax.
+	fullTime    = 500 * time.Millisecond
+	fullTimeMax = 4 * time.Second
+	// fullShare is the part of the work at the time of a refusal up to which
+	// an instance gets new work meanwhile.
+	fullShare = 0.95
+)
+
+// Refused records that an instance of a model refused a request, mostly for
+// lack of memory. For a while it gets new work only as far as some of what it
+// had then has ended.
+func (l *Ledger) Refused(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	limit := fullShare * l.account(id, now).tokenLayers
+	if now.Before(a.fullUntil) {
+		a.fullAt = min(a.fullAt, limit)
+		return
+	}
+	a.fullAt, a.fullUntil = limit, now.Add(min(fullTime<<min(a.refusals, 8), fullTimeMax))
+	a.refusals++
+}
+
+// full reports whether an instance refused a request lately.
+func (l *Ledger) full(id string, now time.Time) bool {
+	a := l.accounts[id]
+	return a != nil && now.Before(a.fullUntil)
+}
+
 const (
 	// lostTime is how long an instance counts as lost after the evidence,
 	// peerLostTime after the report of a peer.
@@ -158,8 +190,9 @@
 
 func (l *Ledger) succeeded(id string) {
 	a := l.entry(id)
-	a.failures, a.unreachable = 0, 0
-	a.avoidUntil, a.lostUntil, a.ownLoss = time.Time{}, time.Time{}, false
+	a.failures, a.unreachable, a.refusals = 0, 0, 0
+	a.avoidUntil, a.fullUntil = time.Time{}, time.Time{}
+	a.lostUntil, a.ownLoss = time.Time{}, false
 }
 
 // Lost reports whether there is evidence that an instance is lost.
--- a/internal/chain/ledger.go
+++ b/internal/chain/ledger.go
@@ -25,6 +25,11 @@
 	// avoidUntil is the time until which the instance gets no new work.
 	avoidUntil time.Time
 	failures   int
+	// fullUntil is the time until which the instance gets new work only up to
+	// fullAt token-layers, since it refused some; refusals counts those.
+	fullUntil time.Time
+	fullAt    float64
+	refusals  int
 	// unreachable counts the connections in a row that failed.
 	unreachable int
 	// lostUntil is the time until which the instance counts as lost. ownLoss
--- a/internal/chain/path.go
+++ b/internal/chain/path.go
@@ -72,7 +72,7 @@
 		if a.requests >= in.Slots && in.Slots > 0 {
 			continue
 		}
-		list = append(list, candidate{in, l.layerTime(s.Model, kind, a), l.room(s.Model, kind, in, a)})
+		list = append(list, candidate{in, l.layerTime(s.Model, kind, a), l.room(s.Model, kind, in, a, now)})
 	}
 	// A fixed order makes the choice repeatable.
 	slices.SortFunc(list, func(a, b candidate) int {
@@ -85,8 +85,14 @@
 }
 
 // room returns the free token-layers of an instance.
-func (l *Ledger) room(m *routing.Model, kind routing.Accelerator, in fleet.Instance, a account) float64 {
-	return Capacity(m, kind, in.Layers.Len())*memoryShare - a.tokenLayers
+func (l *Ledger) room(
+	m *routing.Model, kind routing.Accelerator, in fleet.Instance, a account, now time.Time,
+) float64 {
+	limit := Capacity(m, kind, in.Layers.Len()) * memoryShare
+	if now.Before(a.fullUntil) {
+		limit = min(limit, a.fullAt)
+	}
+	return max(limit-a.tokenLayers, 0)
 }
 
 // Capacity returns the token-layers of KV cache that fit beside layers of the
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -163,10 +163,7 @@
 // afterRefusal decides what follows the refusal of an instance, which has not
 // run the request.
 func (c *call) afterRefusal(first chain.Part, reply Reply, status int) bool {
-	culprit := c.culprit(first, reply)
-	c.avoid = append(c.avoid, culprit)
-	c.g.ledger.Failed(culprit, time.Now())
-	c.observeMisplaced(culprit, status)
+	culprit := c.noteRefusal(first, reply, status)
 	if c.mayResend() {
 		c.line(events.RequestRepeated).Str("instance", culprit).Int("status", status).Bool("not_run", true).Send()
 		return true
@@ -179,6 +176,21 @@
 	return false
 }
 
+// noteRefusal keeps new work away from the instance that refused the request,
+// and returns it. An instance of a model that is short of memory may still take
+// this request when others end.
+func (c *call) noteRefusal(first chain.Part, reply Reply, status int) string {
+	culprit := c.culprit(first, reply)
+	if c.service.Model != nil && status == http.StatusServiceUnavailable {
+		c.g.ledger.Refused(culprit, time.Now())
+		return culprit
+	}
+	c.avoid = append(c.avoid, culprit)
+	c.g.ledger.Failed(culprit, time.Now())
+	c.observeMisplaced(culprit, status)
+	return culprit
+}
+
 // culprit returns the instance that a refusal names, or the first of the path.
 func (c *call) culprit(first chain.Part, reply Reply) string {
 	for _, part := range c.lastPath {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -326,10 +326,7 @@
 	if s.answered == 0 {
 		return s.afterRefusal(first, reply, status)
 	}
-	culprit := s.culprit(first, reply)
-	s.avoid = append(s.avoid, culprit)
-	s.g.ledger.Failed(culprit, time.Now())
-	s.observeMisplaced(culprit, status)
+	s.noteRefusal(first, reply, status)
 	if s.mayResend() {
 		return true
 	}
