gateway: Move streams off instances that leave or give up layers

Cause: an instance that is ordered to hold other layers first finishes the streams that pass through it. A leaving instance stays for little longer than 2 s and cuts longer streams.

Change: each gateway looks at its streams when the view of the instances changes, and replaces the parts that leave by others, in place. A stream whose order is refused stays charged where it is.

TestStreamsAreMovedOffLeavingServers fails without the change.

--- a/internal/chain/ledger.go
+++ b/internal/chain/ledger.go
@@ -236,6 +236,14 @@
 	return l.charge(path, g.tokens), true
 }
 
+// Restore releases a grant and charges a former one of the same request again.
+func (l *Ledger) Restore(g, former Grant) Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.release(g)
+	return l.charge(former.Path, former.tokens)
+}
+
 // foreignDomainLoad is how many requests of difference make an instance of
 // another failure domain preferable.
 const foreignDomainLoad = 4
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	budget    *repeatBudget
 	faults    *faultFinder
 	idle      *idleConnections
+	streams   *activeStreams
 	// exchange is nil until the gateway has joined its peers.
 	exchange atomic.Pointer[gossip.Exchange]
 
@@ -90,6 +91,7 @@
 		admission: newAdmission(ledger, directory),
 		faults:    newFaultFinder(p.Engines, ledger, directory),
 		idle:      newIdleConnections(),
+		streams:   newActiveStreams(),
 	}
 	g.budget = newRepeatBudget(s.RetryRatio, s.RetryWindow, s.RetryReserve, g.gateways)
 	return g
@@ -169,6 +171,7 @@
 	})
 	group.Go(func() error { g.admission.run(background); return nil })
 	group.Go(func() error { g.sweep(background); return nil })
+	group.Go(func() error { g.evacuate(background); return nil })
 	if err := g.joinPeers(background, &group); err != nil {
 		return err
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/backend"
@@ -43,7 +44,18 @@
 	lastEvent string
 	// lastSent is when that was.
 	lastSent time.Time
-	grant    chain.Grant
+
+	// mu guards what follows: a stream is also moved by others than the
+	// goroutine that serves it.
+	mu    sync.Mutex
+	grant chain.Grant
+	// moving is true while an order to change the path is on its way, returned
+	// once the grant was.
+	moving, returned bool
+	// former is the grant before the detour that is on its way.
+	former chain.Grant
+	// nextDetour is the earliest time of the next move off a leaving instance.
+	nextDetour time.Time
 }
 
 // serveStream forwards a stream, over several instances if some fail.
@@ -55,8 +67,7 @@
 			s.unadmitted(err)
 			return
 		}
-		s.grant = grant
-		if !s.tryGranted() {
+		if !s.tryGranted(grant) {
 			return
 		}
 	}
@@ -64,9 +75,37 @@
 
 // tryGranted is try with the return of what was granted, also if the stream is
 // cut, which panics. A detour changes the grant meanwhile.
-func (s *stream) tryGranted() bool {
-	defer func() { s.g.admission.Release(s.grant) }()
-	return s.try()
+func (s *stream) tryGranted(grant chain.Grant) bool {
+	s.lastPath = grant.Path
+	s.setGrant(grant)
+	s.g.streams.add(s)
+	defer func() {
+		s.g.streams.remove(s)
+		last := s.endGrant()
+		s.lastPath = last.Path
+		s.g.admission.Release(last)
+	}()
+	return s.try(grant.Path)
+}
+
+func (s *stream) setGrant(g chain.Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grant, s.returned = g, false
+}
+
+// endGrant returns the grant to release; no detour changes it afterwards.
+func (s *stream) endGrant() chain.Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.returned = true
+	return s.grant
+}
+
+func (s *stream) currentGrant() chain.Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grant
 }
 
 // unadmitted ends a stream that no instance can serve or continue.
@@ -87,14 +126,13 @@
 }
 
 // try sends the stream to one path. It returns true if another is to be tried.
-func (s *stream) try() bool {
-	first := s.grant.Path.First()
-	s.lastPath = s.grant.Path
+func (s *stream) try(path chain.Path) bool {
+	first := path.First()
 	s.sends++
 	options := backend.Options{
 		Deadline: s.deadline, MaxIdle: idleForOnce, Mine: s.mine, StallAfter: stallCheck, OnStall: s.stalled,
 	}
-	x, err := s.g.pool.Do(s.context(), first.Address, s.request(s.grant.Path, s.lastEvent), options)
+	x, err := s.g.pool.Do(s.context(), first.Address, s.request(path, s.lastEvent), options)
 	if err != nil {
 		return s.afterEnd(first, err)
 	}
@@ -114,7 +152,7 @@
 	err = s.relay(x.Response.Body)
 	if err == nil {
 		x.Finish()
-		s.g.ledger.SucceededPath(s.grant.Path)
+		s.g.ledger.SucceededPath(s.currentGrant().Path)
 		return false
 	}
 	x.Abort()
@@ -210,10 +248,12 @@
 
 // stalled is called while a stream is silent. An error moves the stream.
 func (s *stream) stalled(waited time.Duration) error {
-	if waited >= stallLimit && s.attemptsLeftAfter(s.grant.Path.First().Instance) && s.elsewhere() {
+	path := s.currentGrant().Path
+	first := path.First().Instance
+	if waited >= stallLimit && s.attemptsLeftAfter(first) && s.elsewhere(first) {
 		return errMoved
 	}
-	fault, err := s.g.faults.Locate(s.context(), s.grant.Path, s.in.ID, time.Now())
+	fault, err := s.g.faults.Locate(s.context(), path, s.in.ID, time.Now())
 	if err != nil {
 		return nil
 	}
@@ -222,7 +262,7 @@
 	}
 	s.avoid = append(s.avoid, fault)
 	s.line(events.StreamStalled).Str("fault", fault).Dur("silent_ms", waited).Int("events", s.events).Send()
-	if s.detour(fault) || !s.attemptsLeftAfter(s.grant.Path.First().Instance) {
+	if s.detour(fault) || !s.attemptsLeftAfter(first) {
 		return nil
 	}
 	return errMoved
@@ -243,9 +283,10 @@
 // take it.
 func (s *stream) afterSlowness(waited time.Duration) error {
 	now := time.Now()
-	slow, factor := s.g.faults.SlowPart(s.context(), s.grant.Path, now)
-	if factor < slowFactor || !s.attemptsLeftAfter(s.grant.Path.First().Instance) ||
-		!s.g.ledger.Faster(s.g.directory.View(), s.service, s.demand(), s.grant, now) {
+	grant := s.currentGrant()
+	slow, factor := s.g.faults.SlowPart(s.context(), grant.Path, now)
+	if factor < slowFactor || !s.attemptsLeftAfter(grant.Path.First().Instance) ||
+		!s.g.ledger.Faster(s.g.directory.View(), s.service, s.demand(), grant, now) {
 		return nil
 	}
 	s.line(events.StreamStalled).Str("slow", slow).Float64("slowness", factor).Dur("silent_ms", waited).
@@ -259,23 +300,52 @@
 // detour keeps a stream where it is and replaces the part that an instance at
 // fault runs. The other instances keep what they have computed.
 func (s *stream) detour(fault string) bool {
-	g, ok := s.g.ledger.Detour(s.g.directory.View(), s.service, s.grant, fault, time.Now())
+	g, ok := s.beginDetour(fault)
 	if !ok {
 		return false
 	}
-	s.grant, s.lastPath = g, g.Path
 	ctx, cancel := context.WithTimeout(s.context(), orderTimeoutRepath)
 	defer cancel()
 	err := s.g.engines.Repath(ctx, g.Path.First().Address, s.in.ID, g.Path)
-	s.line(events.StreamDetour).Str("path", formatPath(g.Path)).Err(err).Send()
+	s.endDetour(g, err)
+	s.g.log.Log(events.StreamDetour).Str("request", s.in.ID).Str("avoided", fault).
+		Str("path", formatPath(g.Path)).Err(err).Send()
 	return err == nil
 }
 
+// beginDetour charges the path of a detour.
+func (s *stream) beginDetour(fault string) (chain.Grant, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.returned || s.moving {
+		return chain.Grant{}, false
+	}
+	g, ok := s.g.ledger.Detour(s.g.directory.View(), s.service, s.grant, fault, time.Now())
+	if !ok {
+		return chain.Grant{}, false
+	}
+	s.former, s.grant, s.moving = s.grant, g, true
+	return g, true
+}
+
+// endDetour notes the outcome of a detour. A stream whose order was refused
+// stays where it was.
+func (s *stream) endDetour(g chain.Grant, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moving = false
+	if s.returned {
+		return
+	}
+	if errors.Is(err, ErrOrderRefused) {
+		s.grant = s.g.ledger.Restore(g, s.former)
+	}
+}
+
 // elsewhere reports whether instances other than the first of the path could
 // take the stream, and keeps it away from that one. Sent to the same path again
 // it would only lose its place.
-func (s *stream) elsewhere() bool {
-	first := s.grant.Path.First().Instance
+func (s *stream) elsewhere(first string) bool {
 	demand := s.demand()
 	demand.Avoid = append(append([]string{}, s.avoid...), first)
 	if !s.g.ledger.Fits(s.g.directory.View(), s.service, demand, time.Now()) {
