gateway: Let requests wait for the first configuration

Cause: after a loss of power of all gateways while the store is silent, requests were refused with 'no configuration' for as long as the outage lasts.

Change: a gateway that has just started holds a request for a quarter of the client's patience, at most 5 s, until it knows a configuration and the instances; then it is refused. A prompt that is late already may wait for room for a quarter of its time left instead of 0.6 of its latency objective.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -200,13 +200,26 @@
 	left := time.Until(c.deadline)
 	wait := time.Duration(float64(left) * maxWaitPlainShare)
 	if c.service.Model != nil {
-		wait = min(time.Duration(maxWaitShare*float64(c.route.Objective)), left)
+		wait = c.promptWait(left)
 	}
 	return c.g.admission.Acquire(c.context(), claim{
 		service: c.service, demand: c.demand(), urgency: c.urgency, maxWait: wait,
 	})
 }
 
+// lateWaitShare is the part of the time left that a prompt may wait for room
+// which is late already.
+const lateWaitShare = 0.25
+
+// promptWait returns how long a prompt may wait for room.
+func (c *call) promptWait(left time.Duration) time.Duration {
+	elapsed := time.Since(c.started)
+	if elapsed > c.route.Objective {
+		return time.Duration(lateWaitShare * float64(left))
+	}
+	return min(time.Duration(maxWaitShare*float64(c.route.Objective)), left)
+}
+
 const (
 	// continueUrgency puts streams that have begun before all others.
 	continueUrgency = -1
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -27,7 +27,9 @@
 	team    string
 	urgency int
 	body    []byte
-	started time.Time
+	// bodyRead is true once body is complete.
+	bodyRead bool
+	started  time.Time
 	// deadline is the time of the final answer.
 	deadline time.Time
 	// avoid lists the instances that failed or refused this request.
@@ -66,7 +68,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer c.finish()
-	if !c.resolve() || !c.readBody() {
+	if !c.awaitStart() || !c.resolve() || !c.readBody() {
 		return
 	}
 	if !c.endsInTime() {
@@ -81,6 +83,41 @@
 	c.servePlain()
 }
 
+const (
+	// startWaitShare is the part of the client's patience that a request may
+	// wait for the first configuration, at most startWaitMax. Clients that come
+	// back after a failure of all gateways have no further try.
+	startWaitShare = 0.25
+	startWaitMax   = 5 * time.Second
+)
+
+// awaitStart waits while the gateway has just started and knows no
+// configuration or no instances. The body is read first, so that the client
+// knows that its request has arrived.
+func (c *call) awaitStart() bool {
+	select {
+	case <-c.g.started:
+		return true
+	default:
+	}
+	if !c.readBody() {
+		return false
+	}
+	wait := min(time.Duration(startWaitShare*float64(c.in.Patience)), startWaitMax)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-c.g.started:
+		c.waited += time.Since(c.started)
+		return true
+	case <-timer.C:
+	case <-c.r.Context().Done():
+		return false
+	}
+	c.refuse("no configuration", time.Second)
+	return false
+}
+
 // resolve finds route, service and team, or answers the request.
 func (c *call) resolve() bool {
 	table := c.g.current.Get()
@@ -152,7 +189,7 @@
 }
 
 func (c *call) readBody() bool {
-	if c.r.Body == nil || c.r.Body == http.NoBody {
+	if c.r.Body == nil || c.r.Body == http.NoBody || c.bodyRead {
 		return true
 	}
 	limit := int64(defaultMaxBody)
@@ -174,7 +211,7 @@
 	case err != nil:
 		c.fail(http.StatusRequestTimeout, "body not received: "+err.Error())
 	default:
-		c.body = body
+		c.body, c.bodyRead = body, true
 		return true
 	}
 	return false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,9 @@
 	firstMember, members time.Time
 	listed               bool
 	configured           bool
+	// started is closed when the gateway first knows a configuration and the
+	// instances.
+	started chan struct{}
 }
 
 // New returns a gateway.
@@ -92,6 +95,7 @@
 		faults:    newFaultFinder(p.Engines, ledger, directory),
 		idle:      newIdleConnections(),
 		streams:   newActiveStreams(),
+		started:   make(chan struct{}),
 	}
 	g.budget = newRepeatBudget(s.RetryRatio, s.RetryWindow, s.RetryReserve, g.gateways)
 	return g
@@ -137,6 +141,19 @@
 	return g.firstMember, g.members
 }
 
+// learned notes that the gateway knows a configuration or the instances.
+func (g *Gateway) learned(what *bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if *what {
+		return
+	}
+	*what = true
+	if g.listed && g.configured {
+		close(g.started)
+	}
+}
+
 // ready reports whether the gateway takes clients.
 func (g *Gateway) ready() bool {
 	if g.draining() {
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -37,9 +37,7 @@
 	}
 	h.g.log.Log(events.TableInstalled).Int64("version", c.Version).Uint64("revision", revision).
 		Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Send()
-	h.g.mu.Lock()
-	defer h.g.mu.Unlock()
-	h.g.configured = true
+	h.g.learned(&h.g.configured)
 }
 
 // Lost implements feed.Handler.
@@ -60,9 +58,7 @@
 	before := h.g.directory.View()
 	h.g.directory.Replace(list, afterOutage, time.Now())
 	h.compare(before, revision)
-	h.g.mu.Lock()
-	defer h.g.mu.Unlock()
-	h.g.listed = true
+	h.g.learned(&h.g.listed)
 }
 
 // Update implements feed.Handler.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -60,6 +60,7 @@
 	})
 	assert.NilError(t, err)
 	g.current.Install(table)
+	close(g.started)
 	g.directory.Update([]fleet.Record{{ID: "i", Revision: 1, Instance: &fleet.Instance{
 		ID: "i", Service: "s", Slots: 1, Address: strings.TrimPrefix(server.URL, "http://"),
 	}}}, time.Now())
