retry: Share one retry budget between the gateways

Cause: each gateway kept to a fixed part of the retry budget, and a stream was broken off before a repeat was taken from it.

Change: gateways report their use of the budget to each other; in each half second one spends at most its part of what the others left. A stream leaves its instance only with a repeat in hand.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/retry"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
 
@@ -291,7 +292,12 @@
 // mayResend reports whether a request that surely has not run may be sent
 // again, and takes it from the retry budget.
 func (c *call) mayResend() bool {
-	return c.sends < maxSends && !c.ended() && !c.expired() && c.g.budget.Repeat(c.service.Name, time.Now())
+	purpose := retry.Afresh
+	if c.events > 0 {
+		purpose = retry.Continuation
+	}
+	return c.sends < maxSends && !c.ended() && !c.expired() &&
+		c.g.budget.Repeat(c.service.Name, purpose, time.Now())
 }
 
 // context returns the context of the exchange with instances.
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -12,6 +12,8 @@
 // Guards against requests that a stopping gateway takes and can't finish: the
 // clients' estimate of the output is often far off (LOST in a hunted day of
 // sawt-muscat, mix --seed 237698237803).
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
 func TestEndsInTime(t *testing.T) {
 	const grace = 8 * time.Second
 	model := &routing.Service{Name: "m", Model: &routing.Model{}}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/gossip"
 	"github.com/nutmegroute/nutmegroute/internal/metrics"
 	"github.com/nutmegroute/nutmegroute/internal/process"
+	"github.com/nutmegroute/nutmegroute/internal/retry"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
 
@@ -54,7 +55,7 @@
 	ledger    *chain.Ledger
 	pool      *backend.Pool
 	admission *admission
-	budget    *repeatBudget
+	budget    *retry.Budget
 	faults    *faultFinder
 	idle      *idleConnections
 	streams   *activeStreams
@@ -97,7 +98,7 @@
 		streams:   newActiveStreams(),
 		started:   make(chan struct{}),
 	}
-	g.budget = newRepeatBudget(s.RetryRatio, s.RetryWindow, s.RetryReserve, g.gateways)
+	g.budget = retry.NewBudget(s.RetryRatio, s.RetryWindow, s.RetryReserve, g.gateways)
 	return g
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,7 +29,8 @@
 		return nil
 	}
 	address := net.JoinHostPort(g.settings.Address, strconv.Itoa(g.settings.PeerPort))
-	exchange, err := gossip.Listen(g.settings.Instance, address, g.ledger, g.directory)
+	exchange, err := gossip.Listen(g.settings.Instance, address,
+		gossip.State{Ledger: g.ledger, Directory: g.directory, Budget: g.budget})
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,7 +28,8 @@
 )
 
 var (
-	// errMoved ends an exchange of a stream that goes on elsewhere.
+	// errMoved ends an exchange of a stream that goes on elsewhere, for which
+	// a repeat has been taken from the retry budget.
 	errMoved = errors.New("gateway: stream moves to other instances")
 	// errEventOrder means that an instance left out an event.
 	errEventOrder = errors.New("gateway: event missing")
@@ -250,7 +251,7 @@
 func (s *stream) stalled(waited time.Duration) error {
 	path := s.currentGrant().Path
 	first := path.First().Instance
-	if waited >= stallLimit && s.attemptsLeftAfter(first) && s.elsewhere(first) {
+	if waited >= stallLimit && s.attemptsLeftAfter(first) && s.elsewhere(first) && s.mayResend() {
 		return errMoved
 	}
 	fault, err := s.g.faults.Locate(s.context(), path, s.in.ID, time.Now())
@@ -262,7 +263,7 @@
 	}
 	s.avoid = append(s.avoid, fault)
 	s.line(events.StreamStalled).Str("fault", fault).Dur("silent_ms", waited).Int("events", s.events).Send()
-	if s.detour(fault) || !s.attemptsLeftAfter(first) {
+	if s.detour(fault) || !s.attemptsLeftAfter(first) || !s.mayResend() {
 		return nil
 	}
 	return errMoved
@@ -286,7 +287,7 @@
 	grant := s.currentGrant()
 	slow, factor := s.g.faults.SlowPart(s.context(), grant.Path, now)
 	if factor < slowFactor || !s.attemptsLeftAfter(grant.Path.First().Instance) ||
-		!s.g.ledger.Faster(s.g.directory.View(), s.service, s.demand(), grant, now) {
+		!s.g.ledger.Faster(s.g.directory.View(), s.service, s.demand(), grant, now) || !s.mayResend() {
 		return nil
 	}
 	s.line(events.StreamStalled).Str("slow", slow).Float64("slowness", factor).Dur("silent_ms", waited).
@@ -360,17 +361,19 @@
 	if errors.Is(err, errClientGone) || s.ended() {
 		return false
 	}
+	if errors.Is(err, errMoved) {
+		s.mayHaveRun(first.Instance)
+		s.line(events.RequestRepeated).Str("instance", first.Instance).Err(err).Int("events", s.events).Send()
+		return true
+	}
 	unsent := errors.Is(err, backend.ErrNotSent)
 	switch {
-	case errors.Is(err, errMoved):
 	case unsent:
 		s.g.ledger.Unreachable(first.Instance, time.Now())
 	default:
 		s.g.ledger.Failed(first.Instance, time.Now())
 	}
-	if !errors.Is(err, errMoved) {
-		s.avoid = append(s.avoid, first.Instance)
-	}
+	s.avoid = append(s.avoid, first.Instance)
 	if !unsent {
 		s.mayHaveRun(first.Instance)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/retry"
 )
 
 const (
@@ -64,6 +65,14 @@
 	// places layers.
 	StoreAway bool `cbor:"7,keyasint,omitempty"`
 	Leading   bool `cbor:"8,keyasint,omitempty"`
+	// Used is the sender's use of the retry budget.
+	Used []usage `cbor:"9,keyasint,omitempty"`
+}
+
+type usage struct {
+	_                 struct{} `cbor:",toarray"`
+	Service           string
+	Requests, Repeats uint32
 }
 
 type holding struct {
@@ -94,12 +103,18 @@
 	AgeMS   uint32
 }
 
+// State is what the gateways tell each other.
+type State struct {
+	Ledger    *chain.Ledger
+	Directory *fleet.Directory
+	Budget    *retry.Budget
+}
+
 // Exchange sends and receives reports.
 type Exchange struct {
-	name      string
-	ledger    *chain.Ledger
-	directory *fleet.Directory
-	conn      *net.UDPConn
+	name  string
+	state State
+	conn  *net.UDPConn
 
 	mu    sync.Mutex
 	peers map[string]netip.AddrPort
@@ -111,7 +126,7 @@
 }
 
 // Listen returns an exchange that receives at address.
-func Listen(name, address string, ledger *chain.Ledger, directory *fleet.Directory) (*Exchange, error) {
+func Listen(name, address string, state State) (*Exchange, error) {
 	local, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "gossip: address")
@@ -121,7 +136,7 @@
 		return nil, eris.Wrap(err, "gossip: listen")
 	}
 	return &Exchange{
-		name: name, ledger: ledger, directory: directory, conn: conn,
+		name: name, state: state, conn: conn,
 		peers: make(map[string]netip.AddrPort), heard: make(map[string]time.Time), away: make(map[string]bool),
 	}, nil
 }
@@ -252,16 +267,21 @@
 
 // encode returns the datagrams of a report.
 func (x *Exchange) encode(round uint64, now time.Time) [][]byte {
-	r := x.ledger.Own(now)
+	r := x.state.Ledger.Own(now)
 	x.mu.Lock()
 	m := message{From: x.name, Round: round, StoreAway: x.storeAway, Leading: x.leading}
 	x.mu.Unlock()
-	for _, o := range x.directory.Observations(now.Add(-observationAge)) {
+	for _, o := range x.state.Directory.Observations(now.Add(-observationAge)) {
 		m.Held = append(m.Held, holding{
 			Instance: o.ID, From: uint32(max(o.Layers.From, 0)), To: uint32(max(o.Layers.To, 0)),
 			AgeMS: uint32(now.Sub(o.At).Milliseconds()),
 		})
 	}
+	for _, u := range x.state.Budget.Usage(now) {
+		m.Used = append(m.Used, usage{
+			Service: u.Service, Requests: uint32(max(u.Requests, 0)), Repeats: uint32(max(u.Repeats, 0)),
+		})
+	}
 	for _, f := range r.Faults {
 		m.Faults = append(m.Faults, fault{Instance: f.Instance, RemainingMS: uint32(f.Remaining.Milliseconds())})
 	}
@@ -286,7 +306,7 @@
 		if len(loads) == 0 {
 			return datagrams
 		}
-		m = message{From: x.name, Round: round, StoreAway: m.StoreAway, Leading: m.Leading}
+		m = message{From: x.name, Round: round, StoreAway: m.StoreAway, Leading: m.Leading, Used: m.Used}
 	}
 }
 
@@ -304,12 +324,21 @@
 	x.away[m.From] = m.StoreAway && !m.Leading
 	x.mu.Unlock()
 	for _, h := range m.Held {
-		x.directory.Observe(fleet.Observation{
+		x.state.Directory.Observe(fleet.Observation{
 			ID: h.Instance, Layers: fleet.LayerRange{From: int(h.From), To: int(h.To)},
 			At: now.Add(-time.Duration(h.AgeMS) * time.Millisecond),
 		})
 	}
-	x.ledger.SetPeer(m.From, m.Round, m.report(), now)
+	x.state.Ledger.SetPeer(m.From, m.Round, m.report(), now)
+	x.state.Budget.SetPeer(m.From, m.Round, m.used(), now)
+}
+
+func (m message) used() []retry.Usage {
+	var list []retry.Usage
+	for _, u := range m.Used {
+		list = append(list, retry.Usage{Service: u.Service, Requests: int(u.Requests), Repeats: int(u.Repeats)})
+	}
+	return list
 }
 
 func (m message) report() chain.Report {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/retry"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
 
@@ -24,7 +25,7 @@
 	var ledgers []*chain.Ledger
 	for _, name := range []string{"g1", "g2"} {
 		l := chain.NewLedger()
-		x, err := Listen(name, "127.0.0.1:0", l, fleet.NewDirectory())
+		x, err := Listen(name, "127.0.0.1:0", newState(l))
 		assert.NilError(t, err)
 		exchanges, ledgers = append(exchanges, x), append(ledgers, l)
 	}
@@ -49,9 +50,14 @@
 	assert.Equal(t, exchanges[1].Known(), 2)
 }
 
+func newState(l *chain.Ledger) State {
+	budget := retry.NewBudget(0.2, 10*time.Second, 100, func() int { return 2 })
+	return State{Ledger: l, Directory: fleet.NewDirectory(), Budget: budget}
+}
+
 func newReceiver(l *chain.Ledger) *Exchange {
 	return &Exchange{
-		name: "r", ledger: l, directory: fleet.NewDirectory(), heard: make(map[string]time.Time),
+		name: "r", state: newState(l), heard: make(map[string]time.Time),
 		away: make(map[string]bool),
 	}
 }
@@ -94,7 +100,7 @@
 		_, err := l.Choose(view, &routing.Service{Name: id}, chain.Demand{}, time.Now())
 		assert.NilError(t, err)
 	}
-	x := &Exchange{name: "g", ledger: l, directory: fleet.NewDirectory()}
+	x := &Exchange{name: "g", state: newState(l)}
 	other := chain.NewLedger()
 	receiver := newReceiver(other)
 	for _, datagram := range x.encode(1, time.Now()) {
@@ -109,8 +115,8 @@
 
 // Guards against datagrams from elsewhere that crash the receiver.
 func FuzzReceive(f *testing.F) {
-	x := &Exchange{name: "g", ledger: chain.NewLedger(), directory: fleet.NewDirectory()}
-	x.ledger.AtFault("a", time.Now())
+	x := &Exchange{name: "g", state: newState(chain.NewLedger())}
+	x.state.Ledger.AtFault("a", time.Now())
 	for _, datagram := range x.encode(1, time.Now()) {
 		f.Add(datagram)
 	}
