gateway: Place layers during a planned stop until another gateway can

Nobody placed layers from 19.5 to 26.3 s. With all gateways stopping in turn no contender is left either.

Change: reports go on, and say that a gateway stops. One that stops gives the lease up only if another one stays, and contends only if none does; the others do not count it as a contender.

TestLeaseDuringAPlannedStop and TestStoppingPeersDoNotContend.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,7 +193,7 @@
 	if err := g.joinPeers(background, &group); err != nil {
 		return err
 	}
-	group.Go(func() error { newPlacer(g, g.platform.Lease).run(ctx); return nil })
+	group.Go(func() error { newPlacer(g, g.platform.Lease).run(background); return nil })
 	server := &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,10 +53,24 @@
 const contenders = 2
 
 // Contends reports whether this gateway is one of those that try to take the
-// lease: the first by name of those that are alive.
+// lease: the first by name of those that are alive. One that stops contends
+// only if no other stays.
 func (g *Gateway) Contends() bool {
 	x := g.exchange.Load()
-	return x == nil || x.Rank(time.Now()) < contenders
+	switch {
+	case x == nil:
+		return true
+	case g.draining():
+		return x.Staying(time.Now()) == 0
+	}
+	return x.Rank(time.Now()) < contenders
+}
+
+// Yields reports whether this gateway gives the lease up because it stops and
+// another one can take it.
+func (g *Gateway) Yields() bool {
+	x := g.exchange.Load()
+	return g.draining() && x != nil && x.Staying(time.Now()) > 0
 }
 
 // register makes this gateway known to the others.
--- /dev/null
+++ b/internal/gateway/peers_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/gossip"
+	"github.com/nutmegroute/nutmegroute/internal/retry"
+	"github.com/nutmegroute/nutmegroute/internal/routing"
+)
+
+func newTestExchange(t *testing.T, name, address string) *gossip.Exchange {
+	t.Helper()
+	x, err := gossip.Listen(name, address, gossip.State{
+		Ledger: chain.NewLedger(), Directory: fleet.NewDirectory(),
+		Budget: retry.NewBudget(0, time.Second, 0, func() int { return 1 }),
+	})
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() { _ = x.Run(ctx) }()
+	return x
+}
+
+// Guards against a placement without a process: on ggra-nutmeg trouble-3
+// --seed 12 the other contender stopped while the store was silent, and nobody
+// placed layers for 7 s.
+func TestLeaseDuringAPlannedStop(t *testing.T) {
+	const address, peerAddress = "127.0.0.1:18731", "127.0.0.1:18732"
+	g := newTestGateway(t, routing.Route{}, http.NotFoundHandler())
+	x := newTestExchange(t, "g2", address)
+	g.exchange.Store(x)
+	assert.Assert(t, g.Contends())
+	g.stopAt.Store(time.Now().Add(time.Minute).UnixNano())
+	assert.Assert(t, g.Contends() && !g.Yields(), "no other gateway is there")
+
+	peer := newTestExchange(t, "g1", peerAddress)
+	peer.Update([]gossip.PeerRecord{{Peer: gossip.Peer{Name: "g2", Address: netip.MustParseAddrPort(address)}}})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !g.Yields() || g.Contends() {
+			return poll.Continue("the peer was not heard")
+		}
+		return poll.Success()
+	})
+	peer.SetRole(gossip.Role{Stopping: true})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if g.Yields() || !g.Contends() {
+			return poll.Continue("the peer seems to stay")
+		}
+		return poll.Success()
+	})
+}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -8,6 +8,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/gossip"
 	"github.com/nutmegroute/nutmegroute/internal/placement"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
@@ -122,8 +123,9 @@
 
 // leads reports whether this process holds the lease, and logs changes.
 func (p *placer) leads(now time.Time) bool {
-	p.last = (p.last || p.lease.Held(now)) && !p.lease.HeldByOther()
-	held := p.lease.Held(now) || p.last && p.orphaned(now)
+	yields := p.g.Yields()
+	p.last = (p.last || p.lease.Held(now)) && !p.lease.HeldByOther() && !yields
+	held := p.lease.Held(now) && !yields || p.last && p.orphaned(now)
 	switch {
 	case held && !p.leading:
 		p.g.log.Log(events.PlacerElected).Send()
@@ -147,7 +149,11 @@
 // does not contend can't take the lease, whether it reaches the store or not.
 func (p *placer) tellPeers() {
 	if x := p.g.exchange.Load(); x != nil {
-		x.SetState(p.lease.StoreAway() || !p.leading && !p.g.Contends(), p.leading)
+		x.SetRole(gossip.Role{
+			StoreAway: p.lease.StoreAway() || !p.leading && !p.g.Contends(),
+			Leading:   p.leading,
+			Stopping:  p.g.draining(),
+		})
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -67,6 +67,8 @@
 	Leading   bool `cbor:"8,keyasint,omitempty"`
 	// Used is the sender's use of the retry budget.
 	Used []usage `cbor:"9,keyasint,omitempty"`
+	// Stopping is true during a planned stop.
+	Stopping bool `cbor:"10,keyasint,omitempty"`
 }
 
 type usage struct {
@@ -116,13 +118,27 @@
 	state State
 	conn  *net.UDPConn
 
-	mu    sync.Mutex
-	peers map[string]netip.AddrPort
-	heard map[string]time.Time
-	// away are the peers that do not reach the store and do not lead.
-	away               map[string]bool
-	storeAway, leading bool
-	round              uint64
+	mu      sync.Mutex
+	peers   map[string]netip.AddrPort
+	senders map[string]sender
+	role    Role
+	round   uint64
+}
+
+// Role is the part of a gateway in the placement.
+type Role struct {
+	// StoreAway is true if the gateway can't take or renew a lease.
+	StoreAway bool
+	// Leading is true if it places layers.
+	Leading bool
+	// Stopping is true during a planned stop.
+	Stopping bool
+}
+
+// sender is a gateway that was heard.
+type sender struct {
+	Role
+	at time.Time
 }
 
 // Listen returns an exchange that receives at address.
@@ -137,7 +153,7 @@
 	}
 	return &Exchange{
 		name: name, state: state, conn: conn,
-		peers: make(map[string]netip.AddrPort), heard: make(map[string]time.Time), away: make(map[string]bool),
+		peers: make(map[string]netip.AddrPort), senders: make(map[string]sender),
 	}, nil
 }
 
@@ -179,20 +195,19 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	alive := 1
-	for _, at := range x.heard {
-		if now.Sub(at) < heardWithin {
+	for _, s := range x.senders {
+		if now.Sub(s.at) < heardWithin {
 			alive++
 		}
 	}
 	return alive
 }
 
-// SetState tells the peers whether this gateway reaches the store and whether
-// it leads.
-func (x *Exchange) SetState(storeAway, leading bool) {
+// SetRole changes what the peers are told of this gateway.
+func (x *Exchange) SetRole(r Role) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.storeAway, x.leading = storeAway, leading
+	x.role = r
 }
 
 // aliveWithin is how recent a report must be for its sender to count as alive
@@ -204,25 +219,35 @@
 func (x *Exchange) Orphaned(now time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for name, at := range x.heard {
-		if now.Sub(at) < aliveWithin && !x.away[name] {
+	for _, s := range x.senders {
+		if now.Sub(s.at) < aliveWithin && (!s.StoreAway || s.Leading) {
 			return false
 		}
 	}
-	return x.storeAway
+	return x.role.StoreAway
 }
 
-// Rank returns how many gateways that are alive have a lower name.
+// Rank returns how many peers that are alive and not stopping have a lower
+// name.
 func (x *Exchange) Rank(now time.Time) int {
+	return x.countStaying(now, func(name string) bool { return name < x.name })
+}
+
+// Staying returns how many peers are alive and not stopping.
+func (x *Exchange) Staying(now time.Time) int {
+	return x.countStaying(now, func(string) bool { return true })
+}
+
+func (x *Exchange) countStaying(now time.Time, counts func(name string) bool) int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	rank := 0
-	for name, at := range x.heard {
-		if now.Sub(at) < aliveWithin && name < x.name {
-			rank++
+	count := 0
+	for name, s := range x.senders {
+		if now.Sub(s.at) < aliveWithin && !s.Stopping && counts(name) {
+			count++
 		}
 	}
-	return rank
+	return count
 }
 
 // Known returns the number of gateways that are registered, with this one.
@@ -269,19 +294,18 @@
 func (x *Exchange) encode(round uint64, now time.Time) [][]byte {
 	r := x.state.Ledger.Own(now)
 	x.mu.Lock()
-	m := message{From: x.name, Round: round, StoreAway: x.storeAway, Leading: x.leading}
+	common := message{
+		From: x.name, Round: round, Used: x.used(now),
+		StoreAway: x.role.StoreAway, Leading: x.role.Leading, Stopping: x.role.Stopping,
+	}
 	x.mu.Unlock()
+	m := common
 	for _, o := range x.state.Directory.Observations(now.Add(-observationAge)) {
 		m.Held = append(m.Held, holding{
 			Instance: o.ID, From: uint32(max(o.Layers.From, 0)), To: uint32(max(o.Layers.To, 0)),
 			AgeMS: uint32(now.Sub(o.At).Milliseconds()),
 		})
 	}
-	for _, u := range x.state.Budget.Usage(now) {
-		m.Used = append(m.Used, usage{
-			Service: u.Service, Requests: uint32(max(u.Requests, 0)), Repeats: uint32(max(u.Repeats, 0)),
-		})
-	}
 	for _, f := range r.Faults {
 		m.Faults = append(m.Faults, fault{Instance: f.Instance, RemainingMS: uint32(f.Remaining.Milliseconds())})
 	}
@@ -306,8 +330,19 @@
 		if len(loads) == 0 {
 			return datagrams
 		}
-		m = message{From: x.name, Round: round, StoreAway: m.StoreAway, Leading: m.Leading, Used: m.Used}
+		m = common
+	}
+}
+
+// used returns the use of the retry budget.
+func (x *Exchange) used(now time.Time) []usage {
+	var list []usage
+	for _, u := range x.state.Budget.Usage(now) {
+		list = append(list, usage{
+			Service: u.Service, Requests: uint32(max(u.Requests, 0)), Repeats: uint32(max(u.Repeats, 0)),
+		})
 	}
+	return list
 }
 
 const percent = 100
@@ -320,8 +355,8 @@
 		return
 	}
 	x.mu.Lock()
-	x.heard[m.From] = now
-	x.away[m.From] = m.StoreAway && !m.Leading
+	role := Role{StoreAway: m.StoreAway, Leading: m.Leading, Stopping: m.Stopping}
+	x.senders[m.From] = sender{Role: role, at: now}
 	x.mu.Unlock()
 	for _, h := range m.Held {
 		x.state.Directory.Observe(fleet.Observation{
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -57,8 +57,7 @@
 
 func newReceiver(l *chain.Ledger) *Exchange {
 	return &Exchange{
-		name: "r", state: newState(l), heard: make(map[string]time.Time),
-		away: make(map[string]bool),
+		name: "r", state: newState(l), senders: make(map[string]sender),
 	}
 }
 
@@ -73,7 +72,7 @@
 		x.receive(data, at)
 	}
 	assert.Assert(t, !x.Orphaned(now))
-	x.SetState(true, false)
+	x.SetRole(Role{StoreAway: true})
 	assert.Assert(t, x.Orphaned(now))
 	peer("a", true, now)
 	assert.Assert(t, x.Orphaned(now))
@@ -87,6 +86,21 @@
 	assert.Assert(t, x.Orphaned(now.Add(2*aliveWithin)))
 }
 
+// Guards against a placement that no process carries out because the
+// contenders for its lease are in a planned stop.
+func TestStoppingPeersDoNotContend(t *testing.T) {
+	x := newReceiver(chain.NewLedger())
+	now := time.Now()
+	for name, stopping := range map[string]bool{"a": true, "b": false, "z": false} {
+		data, err := cbor.Marshal(message{From: name, Round: 1, Stopping: stopping})
+		assert.NilError(t, err)
+		x.receive(data, now)
+	}
+	assert.Equal(t, x.Rank(now), 1)
+	assert.Equal(t, x.Staying(now), 2)
+	assert.Equal(t, x.Staying(now.Add(aliveWithin)), 0)
+}
+
 // Guards against a report of many loads that does not fit into datagrams.
 func TestLargeReportsAreSplit(t *testing.T) {
 	l := chain.NewLedger()
