gateway: Count instances that refuse without need as leaving

As later parts of chains they refused all requests, no stream passed through them that could stall, and their layers were not placed elsewhere for 10 s: two of three failure domains served nothing.

Change: an instance that refuses in three periods in a row is asked for its state. If it does not answer it is lost; if less than half of its KV cache and slots are in use it counts as leaving for 5 s, and the placement goes on without it. Both are logged as instance-lost.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -46,18 +46,20 @@
 
 // Refused records that an instance of a model refused a request, mostly for
 // lack of memory. For a while it gets new work only as far as some of what it
-// had then has ended.
-func (l *Ledger) Refused(id string, now time.Time) {
+// had then has ended. It returns in how many such periods in a row, without a
+// complete answer, the instance has refused.
+func (l *Ledger) Refused(id string, now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.entry(id)
 	limit := fullShare * l.account(id, now).tokenLayers
 	if now.Before(a.fullUntil) {
 		a.fullAt = min(a.fullAt, limit)
-		return
+		return a.refusals
 	}
 	a.fullAt, a.fullUntil = limit, now.Add(min(fullTime<<min(a.refusals, 8), fullTimeMax))
 	a.refusals++
+	return a.refusals
 }
 
 // full reports whether an instance refused a request lately.
@@ -90,6 +92,17 @@
 // lose notes evidence of a loss.
 func (a *account) lose(now time.Time) {
 	a.lostUntil, a.ownLoss, a.recheckAt = now.Add(lostTime), true, now.Add(recheckPause)
+	a.leaving = false
+}
+
+// Leaving records that an instance refuses requests for which it has room: it
+// stops, and its entry does not say so yet. It counts as lost for a while.
+func (l *Ledger) Leaving(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	a.lose(now)
+	a.leaving = true
 }
 
 // LostInstances returns the lost instances that are to be asked whether they
@@ -99,7 +112,7 @@
 	defer l.mu.Unlock()
 	var list []string
 	for id, a := range l.accounts {
-		if a.ownLoss && now.Before(a.lostUntil) && !now.Before(a.recheckAt) {
+		if a.ownLoss && !a.leaving && now.Before(a.lostUntil) && !now.Before(a.recheckAt) {
 			a.recheckAt = now.Add(recheckPause)
 			list = append(list, id)
 		}
@@ -192,7 +205,7 @@
 	a := l.entry(id)
 	a.failures, a.unreachable, a.refusals = 0, 0, 0
 	a.avoidUntil, a.fullUntil = time.Time{}, time.Time{}
-	a.lostUntil, a.ownLoss = time.Time{}, false
+	a.lostUntil, a.ownLoss, a.leaving = time.Time{}, false, false
 }
 
 // Lost reports whether there is evidence that an instance is lost.
--- a/internal/chain/ledger.go
+++ b/internal/chain/ledger.go
@@ -37,6 +37,9 @@
 	// instance at recheckAt whether it is back.
 	lostUntil time.Time
 	ownLoss   bool
+	// leaving is true if the instance counts as lost because it refuses
+	// requests for which it has room; it may still answer questions.
+	leaving   bool
 	recheckAt time.Time
 }
 
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -34,6 +34,10 @@
 		"A configuration contradicts itself and was not installed.", "Correct the configuration.")
 	InstanceChanged = define(1814, "instance-changed", zerolog.InfoLevel,
 		"An upstream instance appeared, changed its state or layers, or is gone.", noAction)
+	InstanceLost = define(1819, "instance-lost", zerolog.WarnLevel,
+		"An instance does not answer, or refuses requests for which it has room; it gets no work and its layers "+
+			"are placed elsewhere until it answers or some seconds have passed.",
+		"Check the instance; its entry in the store may be outdated.")
 	GatewayReady = define(1815, "gateway-ready", zerolog.InfoLevel,
 		"Configuration and instances are known; the gateway takes clients.", noAction)
 	ListenerFault = define(1816, "listener-fault", zerolog.WarnLevel,
--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
 )
 
@@ -26,6 +27,7 @@
 	engines   Engines
 	ledger    *chain.Ledger
 	directory *fleet.Directory
+	log       *events.Logger
 
 	mu      sync.Mutex
 	answers map[string]*engineAnswer
@@ -40,8 +42,8 @@
 	err    error
 }
 
-func newFaultFinder(e Engines, l *chain.Ledger, d *fleet.Directory) *faultFinder {
-	return &faultFinder{engines: e, ledger: l, directory: d, answers: make(map[string]*engineAnswer)}
+func newFaultFinder(e Engines, l *chain.Ledger, d *fleet.Directory, log *events.Logger) *faultFinder {
+	return &faultFinder{engines: e, ledger: l, directory: d, log: log, answers: make(map[string]*engineAnswer)}
 }
 
 // Locate returns the instance that keeps the request from going on, "" if none
@@ -105,6 +107,31 @@
 	return fleet.Observation{ID: in.ID, Layers: answer.report.Layers, At: answer.at.Add(-reportLag)}, nil
 }
 
+const (
+	// roomyKVCache is the part of the KV cache in use below which a refusal is
+	// not for lack of memory.
+	roomyKVCache = 0.5
+	// roomySlots is the same for the requests that an instance runs at once.
+	roomySlots = 0.5
+)
+
+// Refused finds out why an instance of a model refused a request. One that has
+// room for it leaves, though its entry does not say so yet; one that does not
+// answer is lost.
+func (f *faultFinder) Refused(ctx context.Context, in fleet.Instance, now time.Time) {
+	answer := f.ask(ctx, in.Address, now, reportAge)
+	r := answer.report
+	switch {
+	case answer.err != nil:
+		f.ledger.Rechecked(in.ID, false, time.Now())
+		f.log.LogLimited(events.InstanceLost).Str("instance", in.ID).Err(answer.err).Send()
+	case r.KVCacheUsed < roomyKVCache && float64(r.Requests) < roomySlots*float64(in.Slots):
+		f.ledger.Leaving(in.ID, time.Now())
+		f.log.LogLimited(events.InstanceLost).Str("instance", in.ID).Float64("kv_cache_used", r.KVCacheUsed).
+			Int("requests", r.Requests).Int("from", r.Layers.From).Int("to", r.Layers.To).Send()
+	}
+}
+
 // Recheck asks the lost instances whether they are back.
 func (f *faultFinder) Recheck(ctx context.Context, view *fleet.View, now time.Time) {
 	for _, id := range f.ledger.LostInstances(now) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,7 +93,7 @@
 		ledger:    ledger,
 		pool:      backend.NewPool(),
 		admission: newAdmission(ledger, directory),
-		faults:    newFaultFinder(p.Engines, ledger, directory),
+		faults:    newFaultFinder(p.Engines, ledger, directory, log),
 		idle:      newIdleConnections(),
 		streams:   newActiveStreams(),
 		started:   make(chan struct{}),
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -176,13 +177,22 @@
 	return false
 }
 
+// doubtfulRefusals is the number of refusals in a row after which an instance
+// is asked for the reason: reports are too old to tell at once.
+const doubtfulRefusals = 3
+
 // noteRefusal keeps new work away from the instance that refused the request,
 // and returns it. An instance of a model that is short of memory may still take
 // this request when others end.
 func (c *call) noteRefusal(first chain.Part, reply Reply, status int) string {
 	culprit := c.culprit(first, reply)
 	if c.service.Model != nil && status == http.StatusServiceUnavailable {
-		c.g.ledger.Refused(culprit, time.Now())
+		now := time.Now()
+		inRow := c.g.ledger.Refused(culprit, now)
+		in, known := c.g.directory.View().Instances[culprit]
+		if known && inRow >= doubtfulRefusals {
+			go c.g.faults.Refused(context.WithoutCancel(c.context()), in, now)
+		}
 		return culprit
 	}
 	c.avoid = append(c.avoid, culprit)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -106,6 +106,11 @@
 	Slowness float64
 	// Layers are those that the instance holds.
 	Layers fleet.LayerRange
+	// KVCacheUsed is the part of the KV cache that is in use, 0 to 1; it is 1
+	// if the instance does not say.
+	KVCacheUsed float64
+	// Requests is the number of requests that run or wait.
+	Requests int
 }
 
 // Engines calls the control interface of model engines.
