gateway: Let the first gateway place layers while nobody can hold the lease

Change: if the placement has been without a process that can hold the lease for 1 s, the first gateway by name places layers. Orders carry the number of orders that an instance has begun, so two at a time do no harm.

TestFirstGatewayPlacesWithoutAStore fails without the change.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -66,6 +66,13 @@
 	return x.Rank(time.Now()) < contenders
 }
 
+// comesFirst reports whether this gateway is the first by name of those that
+// are alive and not stopping.
+func (g *Gateway) comesFirst(now time.Time) bool {
+	x := g.exchange.Load()
+	return x == nil || x.Rank(now) == 0 && (!g.draining() || x.Staying(now) == 0)
+}
+
 // Yields reports whether this gateway gives the lease up because it stops and
 // another one can take it.
 func (g *Gateway) Yields() bool {
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -58,3 +58,36 @@
 		return poll.Success()
 	})
 }
+
+// awayLease is a lease in a store that does not answer.
+type awayLease struct{}
+
+func (awayLease) Held(time.Time) bool { return false }
+
+func (awayLease) StoreAway() bool { return true }
+
+func (awayLease) HeldByOther() bool { return false }
+
+// Guards against a placement without a process while the store is silent and
+// the holder of the lease is gone: on sawt-muscat trouble-3 --seed 13 nobody
+// placed layers for 11 s.
+func TestFirstGatewayPlacesWithoutAStore(t *testing.T) {
+	const address, peerAddress = "127.0.0.1:18733", "127.0.0.1:18734"
+	g := newTestGateway(t, routing.Route{}, http.NotFoundHandler())
+	g.exchange.Store(newTestExchange(t, "g2", address))
+	p := newPlacer(g, awayLease{})
+	p.tellPeers()
+	now := time.Now()
+	assert.Assert(t, !p.leads(now), "the holder may still be there")
+	assert.Assert(t, p.leads(now.Add(orphanTime)))
+
+	peer := newTestExchange(t, "g1", peerAddress)
+	peer.SetRole(gossip.Role{StoreAway: true})
+	peer.Update([]gossip.PeerRecord{{Peer: gossip.Peer{Name: "g2", Address: netip.MustParseAddrPort(address)}}})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.leads(time.Now()) {
+			return poll.Continue("a gateway that comes first was not heard")
+		}
+		return poll.Success()
+	})
+}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -58,9 +58,12 @@
 	lease   Lease
 	leading bool
 	// last is true if this gateway was the last holder that it knows of.
-	last    bool
-	pending map[string]pendingOrder
-	results chan orderResult
+	last bool
+	// orphanedSince is when the placement was left without a process that can
+	// take the lease, zero if it is not.
+	orphanedSince time.Time
+	pending       map[string]pendingOrder
+	results       chan orderResult
 	// begun counts the orders of each instance.
 	begun map[string]begunOrders
 }
@@ -125,7 +128,7 @@
 func (p *placer) leads(now time.Time) bool {
 	yields := p.g.Yields()
 	p.last = (p.last || p.lease.Held(now)) && !p.lease.HeldByOther() && !yields
-	held := p.lease.Held(now) && !yields || p.last && p.orphaned(now)
+	held := p.lease.Held(now) && !yields || p.actsWithoutLease(now)
 	switch {
 	case held && !p.leading:
 		p.g.log.Log(events.PlacerElected).Send()
@@ -137,9 +140,27 @@
 	return held
 }
 
+// orphanTime is how long the placement has to be left without a process until
+// another one than the last holder takes it.
+const orphanTime = time.Second
+
+// actsWithoutLease reports whether this gateway places layers although nobody
+// can hold the lease: the last holder goes on, and without one the first
+// gateway by name. Two at a time do no harm, since each order carries the
+// number of orders that its instance has begun.
+func (p *placer) actsWithoutLease(now time.Time) bool {
+	if !p.orphaned(now) {
+		p.orphanedSince = time.Time{}
+		return false
+	}
+	if p.orphanedSince.IsZero() {
+		p.orphanedSince = now
+	}
+	return p.last || now.Sub(p.orphanedSince) >= orphanTime && p.g.comesFirst(now)
+}
+
 // orphaned reports whether neither this gateway nor any other that is alive
-// reaches the store, and none of them leads. Nobody else can take the lease
-// then, and the last holder goes on.
+// reaches the store, and none of them leads.
 func (p *placer) orphaned(now time.Time) bool {
 	x := p.g.exchange.Load()
 	return x != nil && p.lease.StoreAway() && x.Orphaned(now)
