gateway: Go on placing layers until somebody holds the lease again

Change: it goes on while no other gateway says that it leads. An instance that refused a request counts as full for 0.3 s at first instead of 0.5, so that one that leaves is found sooner.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -37,7 +37,7 @@
 const (
 	// fullTime is how long an instance that refused a request counts as full;
 	// it doubles with each further refusal up to fullTimeMax.
-	fullTime    = 500 * time.Millisecond
+	fullTime    = 300 * time.Millisecond
 	fullTimeMax = 4 * time.Second
 	// fullShare is the part of the work at the time of a refusal up to which
 	// an instance gets new work meanwhile.
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -60,13 +60,13 @@
 }
 
 // awayLease is a lease in a store that does not answer.
-type awayLease struct{}
+type awayLease struct{ back bool }
 
-func (awayLease) Held(time.Time) bool { return false }
+func (l *awayLease) Held(time.Time) bool { return false }
 
-func (awayLease) StoreAway() bool { return true }
+func (l *awayLease) StoreAway() bool { return !l.back }
 
-func (awayLease) HeldByOther() bool { return false }
+func (l *awayLease) HeldByOther() bool { return false }
 
 // Guards against a placement without a process while the store is silent and
 // the holder of the lease is gone: on sawt-muscat trouble-3 --seed 13 nobody
@@ -75,19 +75,33 @@
 	const address, peerAddress = "127.0.0.1:18733", "127.0.0.1:18734"
 	g := newTestGateway(t, routing.Route{}, http.NotFoundHandler())
 	g.exchange.Store(newTestExchange(t, "g2", address))
-	p := newPlacer(g, awayLease{})
+	lease := &awayLease{}
+	p := newPlacer(g, lease)
 	p.tellPeers()
 	now := time.Now()
 	assert.Assert(t, !p.leads(now), "the holder may still be there")
 	assert.Assert(t, p.leads(now.Add(orphanTime)))
+	lease.back = true
+	p.tellPeers()
+	assert.Assert(t, p.leads(now.Add(orphanTime)), "nobody holds the lease yet")
 
 	peer := newTestExchange(t, "g1", peerAddress)
-	peer.SetRole(gossip.Role{StoreAway: true})
+	peer.SetRole(gossip.Role{Leading: true})
 	peer.Update([]gossip.PeerRecord{{Peer: gossip.Peer{Name: "g2", Address: netip.MustParseAddrPort(address)}}})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if p.leads(time.Now()) {
-			return poll.Continue("a gateway that comes first was not heard")
+			return poll.Continue("the holder was not heard")
+		}
+		return poll.Success()
+	})
+	lease.back = false
+	peer.SetRole(gossip.Role{StoreAway: true})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		p.tellPeers()
+		if !p.orphaned(time.Now()) {
+			return poll.Continue("the peer seems to lead")
 		}
 		return poll.Success()
 	})
+	assert.Assert(t, !g.comesFirst(time.Now()))
 }
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -57,6 +57,8 @@
 	g       *Gateway
 	lease   Lease
 	leading bool
+	// acting is true if this gateway leads without the lease.
+	acting bool
 	// last is true if this gateway was the last holder that it knows of.
 	last bool
 	// orphanedSince is when the placement was left without a process that can
@@ -129,6 +131,7 @@
 	yields := p.g.Yields()
 	p.last = (p.last || p.lease.Held(now)) && !p.lease.HeldByOther() && !yields
 	held := p.lease.Held(now) && !yields || p.actsWithoutLease(now)
+	p.acting = held && !p.lease.Held(now)
 	switch {
 	case held && !p.leading:
 		p.g.log.Log(events.PlacerElected).Send()
@@ -151,7 +154,9 @@
 func (p *placer) actsWithoutLease(now time.Time) bool {
 	if !p.orphaned(now) {
 		p.orphanedSince = time.Time{}
-		return false
+		// When the store is back, it takes a while until somebody holds the
+		// lease.
+		return p.acting && !p.g.Yields() && !p.peerLeads(now)
 	}
 	if p.orphanedSince.IsZero() {
 		p.orphanedSince = now
@@ -159,6 +164,11 @@
 	return p.last || now.Sub(p.orphanedSince) >= orphanTime && p.g.comesFirst(now)
 }
 
+func (p *placer) peerLeads(now time.Time) bool {
+	x := p.g.exchange.Load()
+	return x != nil && x.PeerLeads(now)
+}
+
 // orphaned reports whether neither this gateway nor any other that is alive
 // reaches the store, and none of them leads.
 func (p *placer) orphaned(now time.Time) bool {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -227,6 +227,18 @@
 	return x.role.StoreAway
 }
 
+// PeerLeads reports whether a peer that is alive places layers.
+func (x *Exchange) PeerLeads(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, s := range x.senders {
+		if now.Sub(s.at) < aliveWithin && s.Leading {
+			return true
+		}
+	}
+	return false
+}
+
 // Rank returns how many peers that are alive and not stopping have a lower
 // name.
 func (x *Exchange) Rank(now time.Time) int {
