gateway: Note the outcome of orders without an answer

Cause: the outcome of an order was passed on with a context that had ended when there was no answer, so that half of these outcomes were dropped; the instance counted as loading for 5 s and more. The others took 2.5 s until the next try.

Change: the outcome is passed on with the context of the placer. An order waits 0.4 s for its answer and counts as uncertain for 0.5 s; it is safe to repeat, since both carry the same number of begun orders.

--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -25,10 +25,10 @@
 	settleTime  = 1500 * time.Millisecond
 	settleLimit = 4 * time.Second
 	// orderTimeout bounds one order.
-	orderTimeout = time.Second
+	orderTimeout = 400 * time.Millisecond
 	// uncertainTime is how long an order without an answer counts as held.
 	// After it the instance is asked.
-	uncertainTime = 1500 * time.Millisecond
+	uncertainTime = 500 * time.Millisecond
 	// refusalPause is how long an instance that refused an order is left
 	// alone: it may still be carrying out another one.
 	refusalPause = time.Second
@@ -303,24 +303,27 @@
 // order sends one order. Whether it is carried out is seen in what the
 // instance reports.
 func (p *placer) order(ctx context.Context, move placement.Move, before int64) {
+	result := orderResult{move: move}
+	result.before, result.err = p.call(ctx, move, before)
+	select {
+	case p.results <- result:
+	case <-ctx.Done():
+	}
+}
+
+// call asks for the number of begun orders if it is not known, and sends the
+// order.
+func (p *placer) call(ctx context.Context, move placement.Move, before int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	var err error
 	if before == unknownOrders {
-		var report Report
-		report, err = p.g.engines.Report(ctx, move.Instance.Address)
-		before = report.Orders
+		report, err := p.g.engines.Report(ctx, move.Instance.Address)
 		if err != nil {
-			err = errors.Join(errNotOrdered, err)
+			return before, errors.Join(errNotOrdered, err)
 		}
+		before = report.Orders
 	}
-	if err == nil {
-		err = p.g.engines.Place(ctx, move.Instance, move.Layers, before)
-	}
-	select {
-	case p.results <- orderResult{move, before, err}:
-	case <-ctx.Done():
-	}
+	return before, p.g.engines.Place(ctx, move.Instance, move.Layers, before)
 }
 
 // errNotOrdered means that an order was not sent.
