--- a/internal/chain/ledger.go
+++ b/internal/chain/ledger.go
@@ -317,6 +317,15 @@
 	return sum
 }
 
+// Work returns the work that all gateways have given to an instance: token-layers
+// of KV cache and requests.
+func (l *Ledger) Work(id string, now time.Time) (tokenLayers float64, requests int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(id, now)
+	return a.tokenLayers, a.requests
+}
+
 // Forget drops the accounts of instances that are not in the view and have no
 // work.
 func (l *Ledger) Forget(view *fleet.View) {
--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -45,6 +45,10 @@
 	Instance string `arg:"positional,required" help:"instance of the upstream"`
 }
 
+type statusArgs struct {
+	Gateway string `arg:"--gateway,env:NUTMEGCTL_GATEWAY" placeholder:"URL" help:"metrics address of a gateway, which is asked in place of an entry"`
+}
+
 type explainArgs struct {
 	RequestID string `arg:"positional,required" help:"request id from Nutmegroute-Request-Id"`
 }
@@ -59,7 +63,7 @@
 	Team      *objectArgs  `arg:"subcommand:team" help:"teams"`
 	Service   *objectArgs  `arg:"subcommand:service" help:"plain services"`
 	Placement *objectArgs  `arg:"subcommand:placement" help:"placements"`
-	Status    *struct{}    `arg:"subcommand:status" help:"print the entry and its upstreams"`
+	Status    *statusArgs  `arg:"subcommand:status" help:"print an entry and its upstreams, or a gateway with its chains and the placement of layers"`
 	Teams     *struct{}    `arg:"subcommand:teams" help:"print the load of each team"`
 	Drain     *drainArgs   `arg:"subcommand:drain" help:"make an upstream leave"`
 	Explain   *explainArgs `arg:"subcommand:explain" help:"say how a request was routed"`
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -8,12 +8,14 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/alexflint/go-arg"
 	"github.com/google/uuid"
 
 	"github.com/nutmegroute/nutmegroute/internal/adminapi"
 	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/gatewayapi"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
@@ -102,7 +104,7 @@
 		return ExitNotFound
 	case errors.Is(err, adminapi.ErrUnknownOutcome):
 		return ExitUnknownOutcome
-	case errors.Is(err, adminapi.ErrUnavailable):
+	case errors.Is(err, adminapi.ErrUnavailable), errors.Is(err, gatewayapi.ErrUnavailable):
 		return ExitUnavailable
 	}
 	return ExitError
@@ -110,6 +112,8 @@
 
 func (c *command) run(ctx context.Context) error {
 	switch {
+	case c.Status != nil && c.Status.Gateway != "":
+		return output(c.out, c.out.gateway)(gatewayapi.FetchStatus(ctx, strings.TrimSuffix(c.Status.Gateway, "/")))
 	case c.Status != nil:
 		return output(c.out, c.out.status)(c.client.Status(ctx))
 	case c.Teams != nil:
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -10,6 +10,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/adminapi"
 	"github.com/nutmegroute/nutmegroute/internal/config"
+	"github.com/nutmegroute/nutmegroute/internal/gatewayapi"
 	"github.com/nutmegroute/nutmegroute/internal/pipeline"
 )
 
@@ -74,6 +75,43 @@
 	return p.table("NAME VERSION AUTHOR TIME VALUE", rows)
 }
 
+// gateway prints the state of a gateway, the chains that it knows and the layers
+// that instances hold.
+func (p *printer) gateway(s gatewayapi.Status) error {
+	_, err := fmt.Fprintf(p.w, "%s in %s: ready %t, configuration %d (outdated %t), places layers %t, %d gateways, %d in flight\n\n",
+		s.Instance, s.FailureDomain, s.Ready, s.Configuration, s.Outdated, s.Leads, s.Gateways, s.InFlight)
+	if err != nil {
+		return err
+	}
+	chains := make([][]any, len(s.Chains))
+	for i, c := range s.Chains {
+		chains[i] = []any{c.Service, c.FailureDomain, c.Instances, c.Missing}
+	}
+	if err := p.table("SERVICE DOMAIN INSTANCES MISSING-LAYERS", chains); err != nil {
+		return err
+	}
+	fmt.Fprintln(p.w)
+	instances := make([][]any, len(s.Instances))
+	for i, in := range s.Instances {
+		layers := fmt.Sprintf("%d-%d", in.From, in.To)
+		used := fmt.Sprintf("%.0f%%", percent*in.KVCacheUsed)
+		instances[i] = []any{in.ID, in.Service, in.FailureDomain, in.Accelerator, layers, instanceState(in), in.Requests, used}
+	}
+	return p.table("INSTANCE SERVICE DOMAIN ACCELERATOR LAYERS STATE REQUESTS KV-CACHE", instances)
+}
+
+const percent = 100
+
+func instanceState(in gatewayapi.Instance) string {
+	switch {
+	case in.Draining:
+		return "draining"
+	case in.Lost:
+		return "lost"
+	}
+	return "usable"
+}
+
 func (p *printer) change(c config.Change) error {
 	if p.json {
 		return p.encode(c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/feed"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/gatewayapi"
 	"github.com/nutmegroute/nutmegroute/internal/gossip"
 	"github.com/nutmegroute/nutmegroute/internal/metrics"
 	"github.com/nutmegroute/nutmegroute/internal/process"
@@ -63,6 +64,8 @@
 	exchange atomic.Pointer[gossip.Exchange]
 
 	inFlight atomic.Int64
+	// leads is true while this gateway places layers.
+	leads atomic.Bool
 	// stopAt is when a planned stop ends, in Unix nanoseconds; 0 if none began.
 	stopAt atomic.Int64
 
@@ -227,7 +230,7 @@
 	})
 }
 
-// serveMetrics serves /metrics if a port is set.
+// serveMetrics serves /metrics and the status for operators if a port is set.
 func (g *Gateway) serveMetrics(group *errgroup.Group, page http.Handler) {
 	if g.settings.MetricsPort == 0 || page == nil {
 		return
@@ -239,6 +242,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", page)
+	mux.HandleFunc("GET "+gatewayapi.StatusPath, g.serveStatus)
 	group.Go(func() error { return process.Serve(process.NewServer(mux), l, nil) })
 }
 
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -140,6 +140,7 @@
 		clear(p.pending)
 	}
 	p.leading = held
+	p.g.leads.Store(held)
 	return held
 }
 
@@ -201,7 +202,7 @@
 		if s.Model == nil {
 			continue
 		}
-		byDomain := p.usable(view, s, now)
+		byDomain := p.g.usable(view, s, now)
 		if !p.standsStill(byDomain, now) {
 			continue
 		}
@@ -249,10 +250,10 @@
 
 // usable returns the instances of a service that may hold layers, by failure
 // domain.
-func (p *placer) usable(view *fleet.View, s *routing.Service, now time.Time) map[string][]fleet.Instance {
+func (g *Gateway) usable(view *fleet.View, s *routing.Service, now time.Time) map[string][]fleet.Instance {
 	byDomain := make(map[string][]fleet.Instance)
 	for _, in := range view.Instances {
-		if in.Service == s.Name && !in.Draining && !p.g.ledger.Lost(in.ID, now) {
+		if in.Service == s.Name && !in.Draining && !g.ledger.Lost(in.ID, now) {
 			byDomain[in.Domain] = append(byDomain[in.Domain], in)
 		}
 	}
--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/gatewayapi"
+	"github.com/nutmegroute/nutmegroute/internal/placement"
+	"github.com/nutmegroute/nutmegroute/internal/routing"
+)
+
+// serveStatus answers operators.
+func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// A client that leaves needs no answer.
+	_ = json.NewEncoder(w).Encode(g.status(time.Now()))
+}
+
+// status returns what this gateway knows.
+func (g *Gateway) status(now time.Time) gatewayapi.Status {
+	s := gatewayapi.Status{
+		Instance: g.settings.Instance, FailureDomain: g.settings.FailureDomain,
+		Ready: g.ready(), Outdated: g.stale(), Leads: g.leads.Load(),
+		Gateways: g.gateways(), InFlight: g.inFlight.Load(),
+	}
+	view, table := g.directory.View(), g.current.Get()
+	if table != nil {
+		s.Configuration = table.Version()
+		for _, service := range table.Services() {
+			s.Chains = append(s.Chains, g.chains(view, service, now)...)
+		}
+	}
+	for _, in := range view.Instances {
+		s.Instances = append(s.Instances, g.instanceStatus(table, in, now))
+	}
+	slices.SortFunc(s.Chains, func(a, b gatewayapi.Chain) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.FailureDomain, b.FailureDomain))
+	})
+	slices.SortFunc(s.Instances, func(a, b gatewayapi.Instance) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.FailureDomain, b.FailureDomain),
+			cmp.Compare(a.From, b.From), cmp.Compare(a.ID, b.ID))
+	})
+	return s
+}
+
+// chains returns the state of a model in each failure domain.
+func (g *Gateway) chains(view *fleet.View, s *routing.Service, now time.Time) []gatewayapi.Chain {
+	if s.Model == nil {
+		return nil
+	}
+	var list []gatewayapi.Chain
+	for domain, instances := range g.usable(view, s, now) {
+		list = append(list, gatewayapi.Chain{
+			Service: s.Name, FailureDomain: domain, Instances: len(instances),
+			Missing: placement.Missing(s.Model, instances, nil),
+		})
+	}
+	return list
+}
+
+func (g *Gateway) instanceStatus(table *routing.Table, in fleet.Instance, now time.Time) gatewayapi.Instance {
+	tokenLayers, requests := g.ledger.Work(in.ID, now)
+	s := gatewayapi.Instance{
+		ID: in.ID, Service: in.Service, FailureDomain: in.Domain, Accelerator: in.Accelerator,
+		From: in.Layers.From, To: in.Layers.To, Draining: in.Draining,
+		Lost: g.ledger.Lost(in.ID, now), Requests: requests,
+	}
+	if table == nil {
+		return s
+	}
+	service := table.Services()[in.Service]
+	if service == nil || service.Model == nil || in.Layers.Len() == 0 {
+		return s
+	}
+	kind := service.Model.Accelerators[in.Accelerator]
+	if capacity := chain.Capacity(service.Model, kind, in.Layers.Len()); capacity > 0 {
+		s.KVCacheUsed = tokenLayers / capacity
+	}
+	return s
+}
