--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/callerapi"
 	"github.com/nutmegroute/nutmegroute/internal/config"
 	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 	"github.com/nutmegroute/nutmegroute/internal/team"
 )
@@ -58,16 +59,7 @@
 
 // Run updates the controls until ctx ends.
 func (a *admissions) Run(ctx context.Context) {
-	ticker := time.NewTicker(admissionInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			a.update()
-		case <-ctx.Done():
-			return
-		}
-	}
+	process.Every(ctx, admissionInterval, func(_ time.Time) { a.update() })
 }
 
 // admit decides about a sequence before anything is dispatched. It returns nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -247,16 +247,7 @@
 
 // planLoop keeps the planner's templates up to date.
 func (e *Entry) planLoop(ctx context.Context) {
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			e.planner.Rebuild(time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
+	process.Every(ctx, planInterval, func(now time.Time) { e.planner.Rebuild(now) })
 }
 
 // drain stops accepting requests and waits for those in progress. It returns
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -13,6 +13,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/lease"
 	"github.com/nutmegroute/nutmegroute/internal/peer"
 	"github.com/nutmegroute/nutmegroute/internal/planner"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -50,16 +51,7 @@
 
 // Run looks for work until ctx ends.
 func (o *orderer) Run(ctx context.Context) {
-	ticker := time.NewTicker(orderInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			o.look(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
+	process.Every(ctx, orderInterval, func(_ time.Time) { o.look(ctx) })
 }
 
 // look starts work on each group that needs an order and has none under way.
--- a/internal/entry/outliers.go
+++ b/internal/entry/outliers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/upstream"
 )
 
@@ -55,16 +56,7 @@
 
 // Run compares the upstreams until ctx ends.
 func (o *outliers) Run(ctx context.Context) {
-	ticker := time.NewTicker(outlierInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			o.compare(time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
+	process.Every(ctx, outlierInterval, func(now time.Time) { o.compare(now) })
 }
 
 func (o *outliers) compare(now time.Time) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,21 +248,14 @@
 
 // sweep closes unused connections and forgets what is gone.
 func (g *Gateway) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			g.pool.Sweep(now)
-			g.idle.reap(g.idleLimit(), now)
-			g.directory.Expire(now)
-			view := g.directory.View()
-			g.ledger.Forget(view)
-			g.faults.Remeasure(ctx, view, now)
-			g.faults.Recheck(ctx, view, now)
-			g.metrics.inFlight.Update(float64(g.inFlight.Load()))
-		}
-	}
+	process.Every(ctx, sweepInterval, func(now time.Time) {
+		g.pool.Sweep(now)
+		g.idle.reap(g.idleLimit(), now)
+		g.directory.Expire(now)
+		view := g.directory.View()
+		g.ledger.Forget(view)
+		g.faults.Remeasure(ctx, view, now)
+		g.faults.Recheck(ctx, view, now)
+		g.metrics.inFlight.Update(float64(g.inFlight.Load()))
+	})
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,11 +32,11 @@
 	DrainTimeout time.Duration
 	// Repeats of requests may reach RetryRatio of the requests of a window,
 	// and RetryReserve more, over all gateways.
-	RetryRatio      float64
-	RetryWindow     time.Duration
-	RetryReserve    float64
-	MemoryLimitMB   int
-	DescriptorLimit int
+	RetryRatio   float64
+	RetryWindow  time.Duration
+	RetryReserve float64
+	// MemoryLimitMB is the memory that the process may use, 0 for no limit.
+	MemoryLimitMB int
 }
 
 // Inbound is what a client's headers say about its request.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,12 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -295,54 +292,6 @@
 	return errMoved
 }
 
-// orderTimeoutRepath bounds the order that changes the path of a stream.
-const orderTimeoutRepath = 300 * time.Millisecond
-
-// detour keeps a stream where it is and replaces the part that an instance at
-// fault runs. The other instances keep what they have computed.
-func (s *stream) detour(fault string) bool {
-	g, ok := s.beginDetour(fault)
-	if !ok {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(s.context(), orderTimeoutRepath)
-	defer cancel()
-	err := s.g.engines.Repath(ctx, g.Path.First().Address, s.in.ID, g.Path)
-	s.endDetour(g, err)
-	s.g.log.Log(events.StreamDetour).Str("request", s.in.ID).Str("avoided", fault).
-		Str("path", formatPath(g.Path)).Err(err).Send()
-	return err == nil
-}
-
-// beginDetour charges the path of a detour.
-func (s *stream) beginDetour(fault string) (chain.Grant, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.returned || s.moving {
-		return chain.Grant{}, false
-	}
-	g, ok := s.g.ledger.Detour(s.g.directory.View(), s.service, s.grant, fault, time.Now())
-	if !ok {
-		return chain.Grant{}, false
-	}
-	s.former, s.grant, s.moving = s.grant, g, true
-	return g, true
-}
-
-// endDetour notes the outcome of a detour. A stream whose order was refused
-// stays where it was.
-func (s *stream) endDetour(g chain.Grant, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.moving = false
-	if s.returned {
-		return
-	}
-	if errors.Is(err, ErrOrderRefused) {
-		s.grant = s.g.ledger.Restore(g, s.former)
-	}
-}
-
 // elsewhere reports whether instances other than the first of the path could
 // take the stream, and keeps it away from that one. Sent to the same path again
 // it would only lose its place.
@@ -406,68 +355,3 @@
 	s.cut("instances refuse to continue the stream")
 	return false
 }
-
-// eventBufferBytes is the read buffer of a stream; longer events are held in
-// memory of their own, up to maxEventBytes.
-const (
-	eventBufferBytes = 2 << 10
-	maxEventBytes    = 1 << 20
-)
-
-var errEventTooLong = errors.New("gateway: event too long")
-
-// readEvent reads one event with its empty line, and its id. io.EOF without an
-// event is the end of the stream.
-func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
-			continue
-		}
-		if err == io.EOF && len(event) > 0 {
-			return nil, "", io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return nil, "", err
-		}
-		if len(event) > maxEventBytes {
-			return nil, "", errEventTooLong
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return event, id, nil
-		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-}
-
-// eventOrder is the relation of an event to the last one sent.
-type eventOrder int
-
-const (
-	eventNext eventOrder = iota
-	eventKnown
-	eventGap
-)
-
-// compareIDs compares numeric ids; others count as next.
-func compareIDs(id, last string) eventOrder {
-	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return eventNext
-	}
-	known, err := strconv.ParseInt(last, 10, 64)
-	if err != nil {
-		return eventNext
-	}
-	switch {
-	case n <= known:
-		return eventKnown
-	case n > known+1:
-		return eventGap
-	}
-	return eventNext
-}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/retry"
 )
 
@@ -270,16 +271,7 @@
 }
 
 func (x *Exchange) sendAll(ctx context.Context) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			x.send(now)
-		}
-	}
+	process.Every(ctx, interval, func(now time.Time) { x.send(now) })
 }
 
 func (x *Exchange) send(now time.Time) {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -62,6 +62,20 @@
 	return nil
 }
 
+// Every calls work at each interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, work func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			work(now)
+		}
+	}
+}
+
 // IgnoreCanceled drops the error of a context that was cancelled on purpose.
 func IgnoreCanceled(err error) error {
 	if errors.Is(err, context.Canceled) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -49,8 +49,6 @@
 	MaxAttempts int
 	// Public routes need no API key.
 	Public bool
-	// Generative routes carry prompts for a language model.
-	Generative bool
 	// Resumable streams may be continued on another instance.
 	Resumable bool
 }
