placement: Order each instance once in a plan

Cause: an empty instance that was given layers could be moved again to mend a hole in the same plan; both orders were sent, and the second was refused. Found when the plan was read; a test over losses in deployments of several sizes shows it.

Change: the last move of each instance counts.

Result: TestPlanMovesEachInstanceOnce fails without the change.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -40,7 +40,7 @@
 // were ordered and are not reported yet, by instance.
 func Plan(m *routing.Model, instances []fleet.Instance, pending map[string]fleet.LayerRange) []Move {
 	p := newPlan(m, instances, pending)
-	moves := append(p.fill(), p.mend()...)
+	moves := lastOfEach(append(p.fill(), p.mend()...))
 	if len(moves) == 0 && len(pending) == 0 {
 		// One improvement at a time: each takes an instance out of service.
 		if move, ok := p.improve(); ok {
@@ -50,6 +50,18 @@
 	return moves
 }
 
+// lastOfEach keeps the last move of each instance.
+func lastOfEach(moves []Move) []Move {
+	var kept []Move
+	for i, move := range moves {
+		later := func(m Move) bool { return m.Instance.ID == move.Instance.ID }
+		if !slices.ContainsFunc(moves[i+1:], later) {
+			kept = append(kept, move)
+		}
+	}
+	return kept
+}
+
 // Missing returns the layers that no instance holds or has been ordered to
 // hold.
 func Missing(m *routing.Model, instances []fleet.Instance, pending map[string]fleet.LayerRange) int {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -188,3 +189,24 @@
 		assert.Equal(t, move.Instance.Accelerator, "small", "%s to %v", move.Instance.ID, move.Layers)
 	}
 }
+
+// Guards against two orders for one instance at a time, of which the second is
+// refused: an empty instance gets layers, and then others to mend a hole.
+func TestPlanMovesEachInstanceOnce(t *testing.T) {
+	m := testModel()
+	m.LoadTime = 14 * time.Second
+	for _, counts := range deployments {
+		base, _ := settle(t, m, instances(counts))
+		for i := range base {
+			for _, lost := range base {
+				list := slices.Clone(base)
+				list[i].Layers = fleet.LayerRange{}
+				moved := make(map[string]bool)
+				for _, move := range Plan(m, without(list, lost.ID), nil) {
+					assert.Assert(t, !moved[move.Instance.ID], "%v: %s", counts, move.Instance.ID)
+					moved[move.Instance.ID] = true
+				}
+			}
+		}
+	}
+}
