gateway: Keep a late detour from touching the next grant of a stream

Cause: when a stream had gone on elsewhere before the order for its detour was refused, the end of the detour put the former grant in place of the present one: that work was returned twice and the other never. Found when the diff was read.

Change: grants are counted; a detour ends only the turn that it began in.

Result: TestLateDetourLeavesTheNextGrant fails without the change.

--- /dev/null
+++ b/internal/gateway/detour_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/routing"
+)
+
+// Guards against work that is charged twice or never returned, when a stream
+// has moved to other instances before the order for its detour is refused.
+func TestLateDetourLeavesTheNextGrant(t *testing.T) {
+	g := newTestGateway(t, routing.Route{}, http.NotFoundHandler())
+	model := &routing.Model{
+		Layers: 2, LayerMB: 1, TokenLayerBytes: 1000, StepTime: time.Millisecond,
+		Accelerators: map[string]routing.Accelerator{"k": {Name: "k", MemoryMB: 100, StepFactor: 1}},
+	}
+	service := &routing.Service{Name: "m", Model: model}
+	var records []fleet.Record
+	for id, layers := range map[string]fleet.LayerRange{"a": {To: 1}, "b": {From: 1, To: 2}, "c": {From: 1, To: 2}} {
+		records = append(records, fleet.Record{ID: id, Revision: 2, Instance: &fleet.Instance{
+			ID: id, Service: "m", Address: id, Accelerator: "k", Slots: 4, Layers: layers,
+		}})
+	}
+	g.directory.Update(records, time.Now())
+	choose := func() chain.Grant {
+		grant, err := g.ledger.Choose(g.directory.View(), service, chain.Demand{Tokens: 10}, time.Now())
+		assert.NilError(t, err)
+		return grant
+	}
+	s := &stream{call: &call{g: g, service: service}}
+	s.setGrant(choose())
+	detour, turn, ok := s.beginDetour(s.currentGrant().Path[1].Instance)
+	assert.Assert(t, ok)
+	g.ledger.Release(s.endGrant())
+	s.setGrant(choose())
+	next := s.currentGrant()
+	s.endDetour(detour, turn, ErrOrderRefused)
+	assert.DeepEqual(t, s.currentGrant().Path, next.Path)
+	g.ledger.Release(s.endGrant())
+	for _, id := range []string{"a", "b", "c"} {
+		tokens, requests := g.ledger.Work(id, time.Now())
+		assert.Assert(t, tokens == 0 && requests == 0, "%s: %v %d", id, tokens, requests)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,6 +52,9 @@
 	moving, returned bool
 	// former is the grant before the detour that is on its way.
 	former chain.Grant
+	// turn counts the grants, so that a detour that ends late does not touch
+	// the next one.
+	turn int
 	// nextDetour is the earliest time of the next move off a leaving instance.
 	nextDetour time.Time
 }
@@ -89,7 +92,8 @@
 func (s *stream) setGrant(g chain.Grant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.grant, s.returned = g, false
+	s.grant, s.returned, s.moving = g, false, false
+	s.turn++
 }
 
 // endGrant returns the grant to release; no detour changes it afterwards.
