--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,6 +188,7 @@
 	}
 	readiness, err := net.Listen("tcp", g.settings.ReadyAddress)
 	if err != nil {
+		_ = clientListener.Close()
 		return eris.Wrap(err, "gateway: listen for readiness")
 	}
 	// Background work continues while requests drain.
@@ -206,7 +207,7 @@
 	group.Go(func() error { g.sweep(background); return nil })
 	group.Go(func() error { g.evacuate(background); return nil })
 	if err := g.joinPeers(background, &group); err != nil {
-		return err
+		return errors.Join(err, clientListener.Close(), readiness.Close())
 	}
 	group.Go(func() error { newPlacer(g, g.platform.Lease).run(background); return nil })
 	server := &http.Server{
