retry: Count the repeats of an earlier process of each gateway

Cause: when all gateways restart, each forgets what it had repeated within the window.

Change: until a window has passed since its start, a gateway assumes that its earlier process used a full share, and reports that to the others, which know the real figure if they heard the earlier process. At the first start of a deployment there is none.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,7 +108,12 @@
 		streams:   newActiveStreams(),
 		synced:    make(chan struct{}),
 	}
-	g.budget = retry.NewBudget(s.RetryRatio, s.RetryWindow, s.RetryReserve, g.gatewayCount)
+	limits := retry.Limits{Ratio: s.RetryRatio, Window: s.RetryWindow, Reserve: s.RetryReserve}
+	started := time.Now()
+	if s.FirstStart {
+		started = time.Time{}
+	}
+	g.budget = retry.NewBudget(limits, g.gatewayCount, started)
 	return g
 }
 
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -22,7 +22,7 @@
 	t.Helper()
 	r, err := gossip.Listen(name, address, gossip.SharedState{
 		Tracker: chain.NewInstanceTracker(), Directory: fleet.NewDirectory(),
-		Budget: retry.NewBudget(0, time.Second, 0, func() int { return 1 }),
+		Budget: retry.NewBudget(retry.Limits{}, func() int { return 1 }, time.Time{}),
 	})
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -37,6 +37,9 @@
 	RetryRatio   float64
 	RetryWindow  time.Duration
 	RetryReserve float64
+	// FirstStart is true if the deployment starts for the first time, so that no
+	// earlier process of this gateway has repeated requests.
+	FirstStart bool
 	// MemoryLimitMB is the memory that the process may use, 0 for no limit.
 	MemoryLimitMB int
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -78,6 +78,8 @@
 	// RetryUsage is the sender's use of the retry budget of each service.
 	RetryUsage []serviceUsage `cbor:"9,keyasint,omitempty"`
 	Stopping   bool           `cbor:"10,keyasint,omitempty"`
+	// Predecessors is retry.Report.Predecessors.
+	Predecessors uint32 `cbor:"11,keyasint,omitempty"`
 }
 
 // serviceUsage is the sender's use of the retry budget of one service: the
@@ -331,10 +333,11 @@
 // encode returns the datagrams of a report. The first datagram holds the faults,
 // slowness and observations.
 func (x *Reporter) encode(number uint64, now time.Time) [][]byte {
-	r := x.state.Tracker.LocalReport(now)
+	r, retries := x.state.Tracker.LocalReport(now), x.state.Budget.LocalReport(now)
 	x.mu.Lock()
 	header := message{
-		From: x.name, ReportNumber: number, RetryUsage: x.retryUsage(now),
+		From: x.name, ReportNumber: number, RetryUsage: encodeUsage(retries.Usage),
+		Predecessors:     uint32(max(retries.Predecessors, 0)),
 		LeaseUnavailable: x.status.LeaseUnavailable, Leading: x.status.Leading, Stopping: x.status.Stopping,
 	}
 	x.mu.Unlock()
@@ -373,10 +376,9 @@
 	}
 }
 
-// retryUsage returns this gateway's use of the retry budget.
-func (x *Reporter) retryUsage(now time.Time) []serviceUsage {
+func encodeUsage(usage []retry.Usage) []serviceUsage {
 	var list []serviceUsage
-	for _, u := range x.state.Budget.Usage(now) {
+	for _, u := range usage {
 		list = append(list, serviceUsage{
 			Service: u.Service, Requests: uint32(max(u.Requests, 0)), Repeats: uint32(max(u.Repeats, 0)),
 		})
@@ -406,16 +408,16 @@
 		})
 	}
 	x.state.Tracker.AddPeerReport(m.From, m.ReportNumber, m.report(), now)
-	x.state.Budget.SetPeerUsage(m.From, m.ReportNumber, m.retryUsage(), now)
+	x.state.Budget.SetPeerReport(m.From, m.retryReport(), now)
 }
 
-// retryUsage returns the sender's use of the retry budget.
-func (m message) retryUsage() []retry.Usage {
-	var list []retry.Usage
+// retryReport returns the sender's use of the retry budget.
+func (m message) retryReport() retry.Report {
+	r := retry.Report{Number: m.ReportNumber, Predecessors: int(m.Predecessors)}
 	for _, u := range m.RetryUsage {
-		list = append(list, retry.Usage{Service: u.Service, Requests: int(u.Requests), Repeats: int(u.Repeats)})
+		r.Usage = append(r.Usage, retry.Usage{Service: u.Service, Requests: int(u.Requests), Repeats: int(u.Repeats)})
 	}
-	return list
+	return r
 }
 
 // report returns the loads, faults and slowness in m.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -51,7 +51,8 @@
 }
 
 func newSharedState(tracker *chain.InstanceTracker) SharedState {
-	budget := retry.NewBudget(0.2, 10*time.Second, 100, func() int { return 2 })
+	budget := retry.NewBudget(retry.Limits{Ratio: 0.2, Window: 10 * time.Second, Reserve: 100},
+		func() int { return 2 }, time.Time{})
 	return SharedState{Tracker: tracker, Directory: fleet.NewDirectory(), Budget: budget}
 }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -39,6 +39,9 @@
 	reserve float64
 	// gatewayCount returns the number of gateways that share the budget.
 	gatewayCount func() int
+	// predecessorUntil is when the repeats of an earlier process of this gateway,
+	// which are not known, have left the window.
+	predecessorUntil time.Time
 
 	// mu guards services and peers.
 	mu       sync.Mutex
@@ -110,18 +113,31 @@
 	// restarted. It counts until previousUntil.
 	previousUsage map[string]Usage
 	previousUntil time.Time
+	// predecessors is the number of gateways in the report whose earlier process
+	// may have used a share that has not left the window.
+	predecessors int
 }
 
-// NewBudget returns the budget of one gateway. Within a window, the repeats of
-// all gateways together may reach ratio times their requests, plus reserve.
-func NewBudget(ratio float64, windowLength time.Duration, reserve float64, gateways func() int) *Budget {
+// Limits are the limits of a budget. Within Window, the repeats of all gateways
+// together may reach Ratio times their requests, plus Reserve.
+type Limits struct {
+	Ratio   float64
+	Window  time.Duration
+	Reserve float64
+}
+
+// NewBudget returns the budget of one gateway whose process started at started. An
+// earlier process of the gateway is assumed to have used its full share until then.
+func NewBudget(l Limits, gateways func() int, started time.Time) *Budget {
+	window := max(l.Window, time.Second)
 	return &Budget{
-		ratio:        ratio,
-		window:       max(windowLength, time.Second),
-		reserve:      reserveFraction * reserve,
-		gatewayCount: gateways,
-		services:     make(map[string]*slidingWindow),
-		peers:        make(map[string]*peerUsage),
+		ratio:            l.Ratio,
+		window:           window,
+		reserve:          reserveFraction * l.Reserve,
+		gatewayCount:     gateways,
+		predecessorUntil: started.Add(window),
+		services:         make(map[string]*slidingWindow),
+		peers:            make(map[string]*peerUsage),
 	}
 }
 
@@ -148,7 +164,8 @@
 	}
 	share := limit / float64(gateways)
 	unreported := w.recentRepeats(b.unreportedSlots())
-	remaining := limit - share*float64(others.silent) - float64(repeats-unreported+others.repeats)
+	assumedShares := others.silent + others.predecessors + b.predecessors(now)
+	remaining := limit - share*float64(assumedShares) - float64(repeats-unreported+others.repeats)
 	if float64(unreported+1) > remaining/float64(gateways-others.silent) || float64(repeats+1) > maxOwnShares*share {
 		return false
 	}
@@ -161,9 +178,19 @@
 	return int(unreportedTime/(b.window/slotCount)) + 1
 }
 
+// predecessors returns 1 while an earlier process of this gateway is assumed to
+// have used a share within the window, and 0 afterwards.
+func (b *Budget) predecessors(now time.Time) int {
+	if now.Before(b.predecessorUntil) {
+		return 1
+	}
+	return 0
+}
+
 // otherUsage is the sum of the other gateways' usage of a service's budget.
-// silent is the number of gateways without a valid report.
-type otherUsage struct{ requests, repeats, silent int }
+// silent is the number of gateways without a valid report, predecessors the number
+// of those whose earlier process is assumed to have used a share.
+type otherUsage struct{ requests, repeats, silent, predecessors int }
 
 // others returns the usage of the other gateways according to their reports.
 func (b *Budget) others(service string, gateways int, now time.Time) otherUsage {
@@ -176,31 +203,44 @@
 			continue
 		}
 		u.silent--
+		if !now.Before(p.previousUntil) {
+			u.predecessors += p.predecessors
+		}
 		u.requests += p.usage[service].Requests
 		u.repeats += p.usage[service].Repeats
 	}
 	return u
 }
 
-// Usage returns the usage of this gateway for each service with requests or
-// repeats in the window, to be reported to the other gateways.
-func (b *Budget) Usage(now time.Time) []Usage {
+// Report is the usage that gateways report to each other.
+type Report struct {
+	// Number increases with each report of a process.
+	Number uint64
+	// Usage holds the services with requests or repeats in the window.
+	Usage []Usage
+	// Predecessors is the number of gateways in the report whose earlier process
+	// is assumed to have used a share within the window.
+	Predecessors int
+}
+
+// LocalReport returns the usage of this gateway. The caller sets its number.
+func (b *Budget) LocalReport(now time.Time) Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []Usage
+	r := Report{Predecessors: b.predecessors(now)}
 	for service := range b.services {
 		requests, repeats := b.windowAt(service, now).sum()
 		if requests+repeats > 0 {
-			list = append(list, Usage{service, requests, repeats})
+			r.Usage = append(r.Usage, Usage{service, requests, repeats})
 		}
 	}
-	return list
+	return r
 }
 
-// SetPeerUsage installs the report of another gateway. If the report number is
+// SetPeerReport installs the report of another gateway. If the report number is
 // lower than that of the latest report and that report has expired, the peer
 // has restarted; its usage from before the restart counts for one more window.
-func (b *Budget) SetPeerUsage(name string, number uint64, list []Usage, now time.Time) {
+func (b *Budget) SetPeerReport(name string, r Report, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.peers[name]
@@ -208,14 +248,14 @@
 	case p == nil:
 		p = &peerUsage{}
 		b.peers[name] = p
-	case number < p.number && now.Sub(p.receivedAt) <= maxReportAge:
+	case r.Number < p.number && now.Sub(p.receivedAt) <= maxReportAge:
 		return // an earlier report that arrives late
-	case number < p.number:
+	case r.Number < p.number:
 		p.previousUsage, p.previousUntil = p.usage, p.receivedAt.Add(b.window)
 	}
-	p.number, p.receivedAt = number, now
-	p.usage = make(map[string]Usage, len(list))
-	for _, u := range list {
+	p.number, p.receivedAt, p.predecessors = r.Number, now, r.Predecessors
+	p.usage = make(map[string]Usage, len(r.Usage))
+	for _, u := range r.Usage {
 		p.usage[u.Service] = u
 	}
 }
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -24,18 +24,29 @@
 	// receives reports whether a gateway receives the reports of another one,
 	// the sender. If it is nil, every gateway receives all reports.
 	receives func(receiver, sender int) bool
+	// restart, if set, returns the gateways whose process is replaced at a tick.
+	restart func(tick int) []int
+	// startTicks holds the tick at which each gateway's process started.
+	startTicks []int
 	// requests and repeats hold the totals of all gateways for each tick.
 	requests, repeats []int
 }
 
 func newDeployment(count int) *deployment {
-	d := &deployment{}
+	d := &deployment{startTicks: make([]int, count)}
 	for range count {
-		d.budgets = append(d.budgets, NewBudget(testRatio, testWindow, testReserve, func() int { return count }))
+		d.budgets = append(d.budgets, newTestBudget(testRatio, testReserve, count))
 	}
 	return d
 }
 
+// newTestBudget returns a budget of one of count gateways. It started a window
+// before start, so that no earlier process of its gateway counts at start.
+func newTestBudget(ratio, reserve float64, count int) *Budget {
+	return NewBudget(Limits{Ratio: ratio, Window: testWindow, Reserve: reserve}, func() int { return count },
+		start.Add(-testWindow))
+}
+
 // run simulates the given number of ticks with one request per gateway and tick.
 // repeat returns the number of repeats that a gateway attempts in a tick.
 func (d *deployment) run(ticks int, repeat func(gateway, tick int) int) {
@@ -43,6 +54,7 @@
 	for tick := range ticks {
 		now := start.Add(time.Duration(tick) * testTick)
 		requests, repeats := 0, 0
+		d.restartGateways(tick, now)
 		for i, b := range d.budgets {
 			b.RecordRequest("s", now)
 			requests++
@@ -55,16 +67,29 @@
 		}
 		d.requests, d.repeats = append(d.requests, requests), append(d.repeats, repeats)
 		if tick%reportTicks == 0 {
-			d.exchangeReports(uint64(tick+1), now)
+			d.exchangeReports(tick, now)
 		}
 	}
 }
 
-func (d *deployment) exchangeReports(number uint64, now time.Time) {
+func (d *deployment) restartGateways(tick int, now time.Time) {
+	if d.restart == nil {
+		return
+	}
+	for _, i := range d.restart(tick) {
+		old := d.budgets[i]
+		d.startTicks[i] = tick
+		d.budgets[i] = NewBudget(Limits{Ratio: testRatio, Window: testWindow, Reserve: testReserve}, old.gatewayCount, now)
+	}
+}
+
+func (d *deployment) exchangeReports(tick int, now time.Time) {
 	for i, sender := range d.budgets {
 		for j, receiver := range d.budgets {
 			if i != j && (d.receives == nil || d.receives(j, i)) {
-				receiver.SetPeerUsage(fmt.Sprint(i), number, sender.Usage(now), now)
+				r := sender.LocalReport(now)
+				r.Number = uint64(tick - d.startTicks[i] + 1)
+				receiver.SetPeerReport(fmt.Sprint(i), r, now)
 			}
 		}
 	}
@@ -145,7 +170,7 @@
 // Guards against repeats with the purpose Restart that use up the part of the
 // budget that is kept for continuations.
 func TestRestartsLeaveBudgetForContinuations(t *testing.T) {
-	b := NewBudget(0, testWindow, 100, func() int { return 1 })
+	b := newTestBudget(0, 100, 1)
 	restarts := 0
 	for b.TakeRepeat("s", Restart, start) {
 		restarts++
@@ -159,23 +184,23 @@
 // reserveFraction of it. They count for one window after the peer's last report
 // before its restart.
 func TestUsageOfARestartedPeerStillCounts(t *testing.T) {
-	b := NewBudget(0, testWindow, 1000, func() int { return 2 })
-	b.SetPeerUsage("p", 100, []Usage{{"s", 10, 600}}, start)
+	b := newTestBudget(0, 1000, 2)
+	b.SetPeerReport("p", Report{Number: 100, Usage: []Usage{{"s", 10, 600}}}, start)
 	now := start.Add(2 * time.Second)
-	b.SetPeerUsage("p", 1, nil, now)
+	b.SetPeerReport("p", Report{Number: 1}, now)
 	assert.Assert(t, !b.TakeRepeat("s", Continuation, now))
 	now = start.Add(testWindow + time.Second)
-	b.SetPeerUsage("p", 2, nil, now)
+	b.SetPeerReport("p", Report{Number: 2}, now)
 	assert.Assert(t, b.TakeRepeat("s", Continuation, now))
 }
 
 // Guards against the repeats of one service using up the budget of another.
 func TestBudgetIsPerService(t *testing.T) {
-	b := NewBudget(0, time.Second, 4, func() int { return 1 })
+	b := newTestBudget(0, 4, 1)
 	for b.TakeRepeat("a", Continuation, start) {
 	}
 	assert.Assert(t, b.TakeRepeat("b", Continuation, start))
-	assert.Assert(t, b.TakeRepeat("a", Continuation, start.Add(3*time.Second)))
+	assert.Assert(t, b.TakeRepeat("a", Continuation, start.Add(testWindow+time.Second)))
 }
 
 // Guards against gateways that each use their share of the same remaining budget
@@ -197,3 +222,42 @@
 		d.checkLimit(t)
 	}
 }
+
+// Guards against gateways that use the budget of a window twice because they
+// restart in between and forget what they had used: all at once, as after a power
+// failure, or one after the other.
+func TestRestartsDoNotRenewTheBudget(t *testing.T) {
+	const gateways = 22
+	all := make([]int, gateways)
+	for i := range all {
+		all[i] = i
+	}
+	const interval = 700
+	for name, restart := range map[string]func(tick int) []int{
+		"all at once": func(tick int) []int {
+			if tick%interval == 0 && tick > 0 {
+				return all
+			}
+			return nil
+		},
+		"one after the other": func(tick int) []int {
+			if tick%20 == 0 {
+				return []int{tick / 20 % gateways}
+			}
+			return nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(gateways)
+			d.restart = restart
+			// Requests are refused in bursts, some of them around a restart.
+			d.run(3*interval+250, func(_, tick int) int {
+				if tick%interval >= 600 || tick%interval < 250 {
+					return 1000
+				}
+				return 0
+			})
+			d.checkLimit(t)
+		})
+	}
+}
