relay, feed: Read the store once for a failure domain and pass it on

A removal whose revision the store does not tell counted as newer than an entry of the same instance that followed it in one answer, so that an instance which registered again was lost.

Change: the relays of a failure domain read the store and serve what they read to the others over WebSocket with CBOR (internal/relay), with its revision and the age of its confirmation. A gateway whose source is silent, old, cut off or behind what other gateways report to know asks the store itself; lists older than what it has seen are not used; a gateway that was silent is not read from until it must have heard the store again. A removal gets a revision between the earlier and the later changes.

TestInstanceThatRegistersAgainIsKept fails with the revision as it was.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -41,6 +41,9 @@
 		"Check the instance; its record in the store may be outdated.")
 	GatewayReady = define(1815, "gateway-ready", zerolog.InfoLevel,
 		"Configuration and instances are known; the gateway accepts clients.", noAction)
+	FeedSourceChanged = define(1820, "feed-source-changed", zerolog.InfoLevel,
+		"The gateway reads a feed of the platform's store from another relay, or from the store itself if the field relay "+
+			"is empty; an error says why the previous relay was given up.", noAction)
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -13,15 +13,28 @@
 // store no longer holds.
 var ErrHistoryExpired = errors.New("feed: history is gone")
 
+// Batch is the result of one call to a source.
+type Batch[R any] struct {
+	// Records holds all records after a list, and the changed ones after a watch.
+	Records []R
+	// Revision is the revision of the store up to which the caller now knows all
+	// changes.
+	Revision uint64
+	// LatestChange is the highest revision of a record in the batch.
+	LatestChange uint64
+	// ConfirmedAt is a time at which the store had no change after Revision. It is
+	// zero if the source could not confirm that.
+	ConfirmedAt time.Time
+}
+
 // Source reads the records of one kind.
 type Source[R any] interface {
-	// List returns all records and the store's revision, which are at least as
-	// recent as the start of the call.
-	List(ctx context.Context) ([]R, uint64, error)
+	// List returns all records.
+	List(ctx context.Context) (Batch[R], error)
 	// Watch waits for changes after a revision, for at most wait. It returns
-	// ErrHistoryExpired if the store no longer holds the changes after that
+	// ErrHistoryExpired if the source no longer holds the changes after that
 	// revision.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]R, uint64, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch[R], error)
 }
 
 // Handler receives what a feed reads. A feed calls its methods from a single
@@ -29,9 +42,9 @@
 type Handler[R any] interface {
 	// Replace receives a complete list. afterOutage is true if the list follows
 	// an outage of the store.
-	Replace(records []R, revision uint64, afterOutage bool)
+	Replace(b Batch[R], afterOutage bool)
 	// Update receives changes, possibly none.
-	Update(records []R, revision uint64)
+	Update(b Batch[R])
 	// SourceFailed is called at the first failure after a success,
 	// SourceRecovered at the next successful list.
 	SourceFailed(err error)
@@ -48,19 +61,25 @@
 	// failure.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
-	// watchPause is the pause after a watch that returned changes. Changes come
-	// in bursts, and without the pause each change would cost a call.
-	watchPause = 150 * time.Millisecond
 	// minOutage is the minimum time without a successful list for which the
 	// failures count as an outage.
 	minOutage = time.Second
 )
 
+// Options configure a feed.
+type Options struct {
+	// Wait is how long a watch waits for changes.
+	Wait time.Duration
+	// Pause is the pause after a watch that returned changes. Changes come in bursts,
+	// and without the pause each change would cost a call.
+	Pause time.Duration
+}
+
 // Feed follows one source.
 type Feed[R any] struct {
 	source  Source[R]
 	handler Handler[R]
-	wait    time.Duration
+	options Options
 
 	revision uint64
 	// failing is true from a failure until the next successful list;
@@ -70,9 +89,9 @@
 	retryDelay   time.Duration
 }
 
-// New returns a feed whose watches wait for changes for at most wait.
-func New[R any](source Source[R], handler Handler[R], wait time.Duration) *Feed[R] {
-	return &Feed[R]{source: source, handler: handler, wait: wait, retryDelay: minRetryDelay}
+// New returns a feed.
+func New[R any](source Source[R], handler Handler[R], o Options) *Feed[R] {
+	return &Feed[R]{source: source, handler: handler, options: o, retryDelay: minRetryDelay}
 }
 
 // Run follows the source until ctx ends.
@@ -96,21 +115,21 @@
 func (f *Feed[R]) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	records, revision, err := f.source.List(ctx)
+	b, err := f.source.List(ctx)
 	if err != nil {
 		return err
 	}
 	outage := f.failing && time.Since(f.failingSince) > minOutage
 	f.recordSuccess()
-	f.revision = revision
-	f.handler.Replace(records, revision, outage)
+	f.revision = b.Revision
+	f.handler.Replace(b, outage)
 	return nil
 }
 
 func (f *Feed[R]) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+WatchTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+WatchTimeoutMargin)
 	defer cancel()
-	records, revision, err := f.source.Watch(ctx, f.revision, f.wait)
+	b, err := f.source.Watch(ctx, f.revision, f.options.Wait)
 	if errors.Is(err, ErrHistoryExpired) {
 		f.revision = 0
 		return nil
@@ -124,10 +143,10 @@
 		f.revision = 0
 		return nil
 	}
-	f.revision = max(f.revision, revision)
-	f.handler.Update(records, revision)
-	if len(records) > 0 {
-		sleep(ctx, watchPause)
+	f.revision = max(f.revision, b.Revision)
+	f.handler.Update(b)
+	if len(b.Records) > 0 {
+		sleep(ctx, f.options.Pause)
 	}
 	return nil
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -31,19 +31,19 @@
 	change(s)
 }
 
-func (s *fakeStore) List(context.Context) ([]string, uint64, error) {
+func (s *fakeStore) List(context.Context) (Batch[string], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
-		return nil, 0, errUnavailable
+		return Batch[string]{}, errUnavailable
 	}
 	// A feed lists after ErrHistoryExpired. Its next watch then starts at a
 	// revision that the store still holds.
 	s.historyExpired = false
-	return slices.Clone(s.records), s.rev, nil
+	return Batch[string]{Records: slices.Clone(s.records), Revision: s.rev}, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]string, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch[string], error) {
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
@@ -53,15 +53,15 @@
 		switch {
 		case watchHangs:
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return Batch[string]{}, ctx.Err()
 		case unavailable:
-			return nil, 0, errUnavailable
+			return Batch[string]{}, errUnavailable
 		case historyExpired:
-			return nil, 0, ErrHistoryExpired
+			return Batch[string]{}, ErrHistoryExpired
 		case rev > after:
-			return records[after:], rev, nil
+			return Batch[string]{Records: records[after:], Revision: rev}, nil
 		case time.Now().After(end):
-			return nil, rev, nil
+			return Batch[string]{Revision: rev}, nil
 		}
 		time.Sleep(time.Millisecond)
 	}
@@ -77,19 +77,19 @@
 	recoveries  int
 }
 
-func (h *recordingHandler) Replace(records []string, _ uint64, afterOutage bool) {
+func (h *recordingHandler) Replace(b Batch[string], afterOutage bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.records = slices.Clone(records)
+	h.records = slices.Clone(b.Records)
 	if afterOutage {
 		h.outageLists++
 	}
 }
 
-func (h *recordingHandler) Update(records []string, _ uint64) {
+func (h *recordingHandler) Update(b Batch[string]) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.records = append(h.records, records...)
+	h.records = append(h.records, b.Records...)
 }
 
 func (h *recordingHandler) SourceFailed(error) { h.failures++ }
@@ -115,7 +115,7 @@
 func startFeed(s *fakeStore, h *recordingHandler, watchWait time.Duration) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { defer close(done); New(s, h, watchWait).Run(ctx) }()
+	go func() { defer close(done); New(s, h, Options{Wait: watchWait}).Run(ctx) }()
 	return func() { cancel(); <-done }
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,11 +129,6 @@
 }
 
 const (
-	// storeWatchWait is how long a watch for configurations or instances waits
-	// for changes. A watch that receives nothing, because its connection is
-	// dead or the store lost its history, is aborted after storeWatchWait and
-	// feed.WatchTimeoutMargin.
-	storeWatchWait = 2500 * time.Millisecond
 	// configStaleAfter is the time without confirmation by the store after
 	// which the configuration may be outdated.
 	configStaleAfter = 4 * time.Second
@@ -200,20 +195,15 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	group.Go(func() error {
-		feed.New(g.platform.Configurations, &configHandler{g}, storeWatchWait).Run(background)
-		return nil
-	})
-	group.Go(func() error {
-		feed.New(g.platform.Instances, &instanceHandler{g}, storeWatchWait).Run(background)
-		return nil
-	})
-	group.Go(func() error { g.admission.run(background); return nil })
-	group.Go(func() error { g.sweep(background); return nil })
-	group.Go(func() error { g.evacuate(background); return nil })
 	if err := g.joinPeers(background, &group); err != nil {
 		return errors.Join(err, clientListener.Close(), readiness.Close())
 	}
+	if err := g.followStore(background, &group); err != nil {
+		return errors.Join(err, clientListener.Close(), readiness.Close())
+	}
+	group.Go(func() error { g.admission.run(background); return nil })
+	group.Go(func() error { g.sweep(background); return nil })
+	group.Go(func() error { g.evacuate(background); return nil })
 	group.Go(func() error { newPlacer(g, g.platform.Lease).run(background); return nil })
 	server := &http.Server{
 		Handler:           g,
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/feed"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
@@ -12,18 +13,19 @@
 type configHandler struct{ g *Gateway }
 
 // Replace implements feed.Handler.
-func (h *configHandler) Replace(list []routing.Configuration, revision uint64, _ bool) {
-	h.Update(list, revision)
-}
+func (h *configHandler) Replace(b feed.Batch[routing.Configuration], _ bool) { h.Update(b) }
 
 // Update implements feed.Handler.
-func (h *configHandler) Update(list []routing.Configuration, revision uint64) {
-	for _, c := range list {
-		h.install(c, revision)
+func (h *configHandler) Update(b feed.Batch[routing.Configuration]) {
+	h.g.reportChange(configFeed, b.LatestChange)
+	for _, c := range b.Records {
+		h.install(c, b.Revision)
 	}
 	h.g.mu.Lock()
 	defer h.g.mu.Unlock()
-	h.g.configConfirmedAt = time.Now()
+	if b.ConfirmedAt.After(h.g.configConfirmedAt) {
+		h.g.configConfirmedAt = b.ConfirmedAt
+	}
 }
 
 // install makes a configuration current unless it is invalid or not newer.
@@ -55,21 +57,23 @@
 type instanceHandler struct{ g *Gateway }
 
 // Replace implements feed.Handler.
-func (h *instanceHandler) Replace(list []fleet.Record, revision uint64, afterOutage bool) {
+func (h *instanceHandler) Replace(b feed.Batch[fleet.Record], afterOutage bool) {
+	h.g.reportChange(instanceFeed, b.LatestChange)
 	before := h.g.directory.View()
-	h.g.directory.Replace(list, afterOutage, time.Now())
-	h.recordChanges(before, revision)
+	h.g.directory.Replace(b.Records, afterOutage, time.Now())
+	h.recordChanges(before, b.Revision)
 	h.g.markSynced(&h.g.instancesSynced)
 }
 
 // Update implements feed.Handler.
-func (h *instanceHandler) Update(list []fleet.Record, revision uint64) {
-	if len(list) == 0 {
+func (h *instanceHandler) Update(b feed.Batch[fleet.Record]) {
+	if len(b.Records) == 0 {
 		return
 	}
+	h.g.reportChange(instanceFeed, b.LatestChange)
 	before := h.g.directory.View()
-	h.g.directory.Update(list, time.Now())
-	h.recordChanges(before, revision)
+	h.g.directory.Update(b.Records, time.Now())
+	h.recordChanges(before, b.Revision)
 }
 
 // recordChanges logs the differences between before and the current view, closes
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,9 +19,6 @@
 	// pause between two attempts.
 	registerTimeout  = time.Second
 	registerInterval = time.Second
-	// peerWatchWait is how long a watch for peers waits for changes; peers
-	// change rarely.
-	peerWatchWait = 20 * time.Second
 )
 
 // joinPeers starts exchanging state with the other gateways and registers this
@@ -47,7 +44,6 @@
 	group.Go(func() error { return reporter.Run(ctx) })
 	group.Go(func() error {
 		g.register(ctx, gossip.Peer{Name: options.Name, Address: self, Domain: options.Domain})
-		feed.New(g.platform.Gateways, &peerHandler{g}, peerWatchWait).Run(ctx)
 		return nil
 	})
 	return nil
@@ -112,12 +108,13 @@
 type peerHandler struct{ g *Gateway }
 
 // Replace implements feed.Handler.
-func (h *peerHandler) Replace(list []gossip.PeerRecord, _ uint64, _ bool) {
-	h.g.reporter.Load().Update(list)
-}
+func (h *peerHandler) Replace(b feed.Batch[gossip.PeerRecord], _ bool) { h.Update(b) }
 
 // Update implements feed.Handler.
-func (h *peerHandler) Update(list []gossip.PeerRecord, _ uint64) { h.g.reporter.Load().Update(list) }
+func (h *peerHandler) Update(b feed.Batch[gossip.PeerRecord]) {
+	h.g.reportChange(gatewayFeed, b.LatestChange)
+	h.g.reporter.Load().Update(b.Records)
+}
 
 // SourceFailed implements feed.Handler.
 func (h *peerHandler) SourceFailed(err error) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -39,6 +39,8 @@
 // PeerRecord is the record of a peer in the platform's store.
 type PeerRecord struct {
 	Peer
+	// Revision is the revision of the record's last change.
+	Revision uint64
 	// Removed is true if the record was removed from the store.
 	Removed bool
 }
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -102,13 +102,16 @@
 	status   Status
 	// registered holds the other gateways that the platform's store lists.
 	registered map[string]Peer
-	members    map[string]member
-	domains    map[string]*domainState
+	// revisions holds the highest known revision of each gateway's record, so that
+	// an older record never replaces a newer one.
+	revisions map[string]uint64
+	members   map[string]member
+	domains   map[string]*domainState
 }
 
 func newMembership(self Peer, capacity uint32) *membership {
 	return &membership{
-		self: self, capacity: capacity, registered: make(map[string]Peer),
+		self: self, capacity: capacity, registered: make(map[string]Peer), revisions: make(map[string]uint64),
 		members: make(map[string]member), domains: make(map[string]*domainState),
 	}
 }
@@ -116,6 +119,10 @@
 // update adds, changes and removes registered gateways.
 func (s *membership) update(records []PeerRecord) {
 	for _, r := range records {
+		if r.Revision < s.revisions[r.Name] {
+			continue
+		}
+		s.revisions[r.Name] = r.Revision
 		switch {
 		case r.Name == s.self.Name:
 		case r.Removed:
