relay, gossip: Three gateways read the store, relays read from them

Confirmations that arrived between two watches were delivered with the next one, so that records counted as old, and two gateways that read from each other would not have noticed.

Only while no peer holds the lease do others try to acquire it. No watch starts in the first 1.5 s unless it is known whom to read from. A watch returns at once what was confirmed since the last one. Batches count the gateways that passed them on.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -25,6 +25,9 @@
 	// ConfirmedAt is a time at which the store had no change after Revision. It is
 	// zero if the source could not confirm that.
 	ConfirmedAt time.Time
+	// Relays is the number of gateways that passed the batch on, 0 if it came from the
+	// store.
+	Relays int
 }
 
 // Source reads the records of one kind.
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -45,6 +45,9 @@
 	// a deployment starts.
 	storeWatchPause   = 150 * time.Millisecond
 	gatewayWatchPause = time.Second
+	// peerSettleTime is how long after its start a gateway waits for the reports of
+	// gateways from which it can read.
+	peerSettleTime = 1500 * time.Millisecond
 	// relaySettleTime is how long a gateway that was silent for a while must have
 	// been heard before feeds are read from it. One that was suspended does not know
 	// how old its records are until its next watch of the store has ended.
@@ -52,8 +55,8 @@
 )
 
 // followStore follows the configurations, instances and gateways in the platform's
-// store until ctx ends. Relays of a failure domain read the store and serve what they
-// read; other gateways read from the relays.
+// store until ctx ends. In a large deployment a few gateways read the store, the relays
+// of the failure domains read from them, and the other gateways from the relays.
 func (g *Gateway) followStore(ctx context.Context, group *errgroup.Group) error {
 	server := relay.NewServer()
 	startFeed(ctx, g, group, server, configFeed, g.platform.Configurations, &configHandler{g},
@@ -107,19 +110,28 @@
 // they prefer, so that the relays share the work.
 func (f *feedGuide) Peers(now time.Time) []relay.Peer {
 	r := f.g.reporter.Load()
-	if r == nil || r.IsRelay(now) {
+	if r == nil {
 		return nil
 	}
-	relays := r.SteadyRelays(relaySettleTime, now)
+	sources := r.FeedSources(relaySettleTime, now)
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(f.g.settings.Instance))
-	peers := make([]relay.Peer, len(relays))
-	for i, p := range relays {
-		peers[(i+int(hash.Sum32()%uint32(len(relays))))%len(relays)] = relay.Peer{Name: p.Name, Address: p.Address.String()}
+	peers := make([]relay.Peer, len(sources))
+	for i, p := range sources {
+		preference := (i + int(hash.Sum32()%uint32(len(sources)))) % len(sources)
+		peers[preference] = relay.Peer{Name: p.Name, Address: p.Address.String()}
 	}
 	return peers
 }
 
+// Settled implements relay.Guide. When a large deployment starts, all gateways would
+// otherwise watch the instances register. The gateways themselves must be watched to
+// become known.
+func (f *feedGuide) Settled(now time.Time) bool {
+	r := f.g.reporter.Load()
+	return r == nil || f.index == gatewayFeed || now.Sub(f.g.startedAt) > peerSettleTime || r.FeedSourcesKnown(now)
+}
+
 // LatestChange implements relay.Guide.
 func (f *feedGuide) LatestChange() uint64 {
 	r := f.g.reporter.Load()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,9 @@
 	// no peer port is set.
 	reporter atomic.Pointer[gossip.Reporter]
 
+	// startedAt is when the process started.
+	startedAt time.Time
+
 	inFlight atomic.Int64
 	// isPlacer is true while this gateway places layers.
 	isPlacer atomic.Bool
@@ -107,13 +110,14 @@
 		idleConns: newIdleConnections(),
 		streams:   newActiveStreams(),
 		synced:    make(chan struct{}),
+		startedAt: time.Now(),
 	}
 	limits := retry.Limits{Ratio: s.RetryRatio, Window: s.RetryWindow, Reserve: s.RetryReserve}
-	started := time.Now()
-	if s.FirstStart {
-		started = time.Time{}
+	var retriesSince time.Time
+	if !s.FirstStart {
+		retriesSince = g.startedAt
 	}
-	g.budget = retry.NewBudget(limits, g.gatewayCount, started)
+	g.budget = retry.NewBudget(limits, g.gatewayCount, retriesSince)
 	return g
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,18 +53,20 @@
 // the placement. More would only add calls to the store.
 const leaseContenders = gossip.MaxFirstNames
 
-// ContendsForLease reports whether this gateway tries to acquire the lease:
-// only the first leaseContenders live gateways by name do. A gateway that is
-// stopping contends only if all others are stopping or gone.
+// ContendsForLease reports whether this gateway tries to acquire the lease: only the
+// first leaseContenders live gateways by name do, while no peer is known to hold it. A
+// gateway that is stopping contends only if all others are stopping or gone.
 func (g *Gateway) ContendsForLease() bool {
-	r := g.reporter.Load()
+	r, now := g.reporter.Load(), time.Now()
 	switch {
 	case r == nil:
 		return true
+	case r.LeaseHeld(now):
+		return false
 	case g.draining():
-		return r.ActivePeerCount(time.Now()) == 0
+		return r.ActivePeerCount(now) == 0
 	}
-	return r.RankByName(time.Now()) < leaseContenders
+	return r.RankByName(now) < leaseContenders
 }
 
 // ranksFirst reports whether this gateway is the first by name of the live
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -198,12 +198,29 @@
 	return x.members.isRelay(now)
 }
 
-// SteadyRelays returns the other relays of the own failure domain that have been
-// heard without an interruption for minTime, or ever since the first time.
-func (x *Reporter) SteadyRelays(minTime time.Duration, now time.Time) []Peer {
+// FeedSources returns the gateways from which this one reads the feeds of the
+// platform's store, none if it reads the store. Only gateways are returned that have
+// been heard without an interruption for minTime, or ever since the first time.
+func (x *Reporter) FeedSources(minTime time.Duration, now time.Time) []Peer {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.members.steadyRelays(minTime, now)
+	return x.members.feedSources(minTime, now)
+}
+
+// FeedSourcesKnown reports whether it is known from where this gateway reads the feeds
+// of the platform's store: there are other gateways to read from, or the deployment is
+// so small that each reads the store.
+func (x *Reporter) FeedSourcesKnown(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.members.feedSources(0, now)) > 0 || len(x.members.members) > 0 && x.members.smallDeployment()
+}
+
+// LeaseHeld reports whether a peer that is alive places layers and holds the lease.
+func (x *Reporter) LeaseHeld(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.members.anyPeer(now, func(s Status) bool { return s.Leading && !s.LeaseUnavailable })
 }
 
 // SetLatestChange sets the revision of the latest change of a feed that this
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -24,6 +24,11 @@
 	// sourceTimeout is how long after its last summary a relay of another failure
 	// domain is replaced by the other relay of that failure domain.
 	sourceTimeout = 500 * time.Millisecond
+	// readerCount is the number of gateways that read the platform's store for the
+	// others. They are in different failure domains as far as possible.
+	readerCount = 3
+	// maxAllReaders is the number of gateways up to which each reads the store itself.
+	maxAllReaders = 8
 	// MaxFirstNames is the number of active gateways that a summary names.
 	MaxFirstNames = 2
 )
@@ -67,9 +72,13 @@
 type summary struct {
 	Status
 	members, active int
+	// reader is true if the relay reads the platform's store.
+	reader bool
 	// first holds the names of the first active members.
-	first      []string
-	receivedAt time.Time
+	first []string
+	// receivedAt is the arrival time, interruptedAt that of the first summary after the
+	// latest interruption, zero if there was none.
+	receivedAt, interruptedAt time.Time
 	// forwarded is the number and part of the latest datagram that this gateway
 	// passed on.
 	forwarded datagramNumber
@@ -154,10 +163,14 @@
 		s.domains[m.Domain] = d
 	}
 	next := summary{
-		Status: m.status(), members: int(m.Members), active: int(m.Active), first: m.First, receivedAt: now,
+		Status: m.status(), members: int(m.Members), active: int(m.Active), reader: m.Reader, first: m.First,
+		receivedAt: now,
 	}
-	if previous, known := d.relays[m.From]; known && now.Sub(previous.receivedAt) < aliveTimeout {
-		next.forwarded = previous.forwarded
+	if previous, known := d.relays[m.From]; known {
+		next.interruptedAt, next.forwarded = previous.interruptedAt, previous.forwarded
+		if now.Sub(previous.receivedAt) >= aliveTimeout {
+			next.interruptedAt, next.forwarded = now, datagramNumber{}
+		}
 	}
 	d.relays[m.From] = next
 	if m.From == d.source {
@@ -371,7 +384,7 @@
 // summarize returns the header of a summary of the own failure domain.
 func (s *membership) summarize(now time.Time) message {
 	header := message{
-		Members: 1, LeaseUnavailable: s.status.LeaseUnavailable, Leading: s.status.Leading, Stopping: s.status.Stopping,
+		Members: 1, Reader: s.readsStore(now), LeaseUnavailable: s.status.LeaseUnavailable, Leading: s.status.Leading, Stopping: s.status.Stopping,
 	}
 	var active []string
 	if !s.status.Stopping {
@@ -394,17 +407,75 @@
 	return header
 }
 
-// steadyRelays returns the relays of the own failure domain other than this
-// gateway that have been heard without an interruption for minTime, or ever since
-// the first time.
-func (s *membership) steadyRelays(minTime time.Duration, now time.Time) []Peer {
+// aliveDomains returns the failure domains with living gateways in the order of their
+// names, the own one included.
+func (s *membership) aliveDomains(now time.Time) []string {
+	list := []string{s.self.Domain}
+	for domain, d := range s.domains {
+		if _, ok := d.current(now); ok {
+			list = append(list, domain)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// readers returns the gateways of the own failure domain that read the platform's
+// store for others. Readers are spread over the failure domains: the first gateways
+// of all failure domains come first, then the second ones.
+func (s *membership) readers(now time.Time) []string {
+	domains := s.aliveDomains(now)
+	position, _ := slices.BinarySearch(domains, s.self.Domain)
+	var list []string
+	for rank, name := range s.aliveMembers(now) {
+		if rank*len(domains)+position < readerCount {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// readsStore reports whether this gateway reads the platform's store.
+func (s *membership) readsStore(now time.Time) bool {
+	return s.smallDeployment() || slices.Contains(s.readers(now), s.self.Name)
+}
+
+// smallDeployment reports whether there are so few gateways that each reads the
+// platform's store itself.
+func (s *membership) smallDeployment() bool { return len(s.registered) < maxAllReaders }
+
+// feedSources returns the gateways from which this one reads the feeds of the
+// platform's store, none if it reads the store: a relay reads from readers, another
+// gateway from the relays of its failure domain. Only gateways are returned that have
+// been heard without an interruption for minTime, or ever since the first time.
+func (s *membership) feedSources(minTime time.Duration, now time.Time) []Peer {
+	steady := func(interruptedAt time.Time) bool {
+		return interruptedAt.IsZero() || now.Sub(interruptedAt) >= minTime
+	}
 	var list []Peer
-	for _, name := range s.relays(now) {
-		m := s.members[name]
-		p, known := s.registered[name]
-		if known && (m.interruptedAt.IsZero() || now.Sub(m.interruptedAt) >= minTime) {
+	add := func(name string, interruptedAt time.Time) {
+		if p, known := s.registered[name]; known && steady(interruptedAt) {
 			list = append(list, p)
 		}
 	}
+	switch relays := s.relays(now); {
+	case s.readsStore(now):
+	case !slices.Contains(relays, s.self.Name):
+		for _, name := range relays {
+			add(name, s.members[name].interruptedAt)
+		}
+	default:
+		for _, name := range s.readers(now) {
+			add(name, s.members[name].interruptedAt)
+		}
+		for _, d := range s.domains {
+			for name, r := range d.relays {
+				if r.reader && now.Sub(r.receivedAt) < aliveTimeout {
+					add(name, r.interruptedAt)
+				}
+			}
+		}
+	}
+	slices.SortFunc(list, comparePeers)
 	return list
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -61,6 +61,8 @@
 	// LatestChanges holds, for each feed, the revision of the latest change that the
 	// sender knows.
 	LatestChanges []uint64 `cbor:"17,keyasint,omitempty"`
+	// Reader is true in the summary of a relay that reads the platform's store.
+	Reader bool `cbor:"19,keyasint,omitempty"`
 	// Part numbers the datagrams of one report from 0.
 	Part uint32 `cbor:"18,keyasint,omitempty"`
 }
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -25,8 +25,8 @@
 type Describe[R any] func(R) (key string, removed bool)
 
 // Cache holds the latest records of a feed and its recent changes. It is a
-// feed.Handler that passes everything on to another handler, and a feed.Source. It is
-// safe for concurrent use.
+// feed.Handler that passes everything on to another handler. It is safe for concurrent
+// use.
 type Cache[R any] struct {
 	next     feed.Handler[R]
 	describe Describe[R]
@@ -41,7 +41,9 @@
 	revision  uint64
 	// latestChange is the highest feed.Batch.LatestChange.
 	latestChange uint64
-	confirmedAt  time.Time
+	// confirmedAt and relays are those of the batch with the latest confirmation.
+	confirmedAt time.Time
+	relays      int
 	// log holds the recent changes, oldest first. Changes up to logStart are not in
 	// it.
 	log      []logEntry[R]
@@ -124,7 +126,7 @@
 func (c *Cache[R]) confirm(b feed.Batch[R]) {
 	c.latestChange = max(c.latestChange, b.LatestChange)
 	if b.ConfirmedAt.After(c.confirmedAt) {
-		c.confirmedAt = b.ConfirmedAt
+		c.confirmedAt, c.relays = b.ConfirmedAt, b.Relays
 	}
 	c.notify()
 }
@@ -135,7 +137,7 @@
 	c.changed = make(chan struct{})
 }
 
-// List implements feed.Source.
+// List returns all records.
 func (c *Cache[R]) List(context.Context) (feed.Batch[R], error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -151,14 +153,16 @@
 
 // emptyBatch returns a batch without records.
 func (c *Cache[R]) emptyBatch() feed.Batch[R] {
-	return feed.Batch[R]{Revision: c.revision, LatestChange: c.latestChange, ConfirmedAt: c.confirmedAt}
+	return feed.Batch[R]{Revision: c.revision, LatestChange: c.latestChange, ConfirmedAt: c.confirmedAt, Relays: c.relays}
 }
 
-// Watch implements feed.Source. It also returns, without changes, when the cache
-// learns that the store has none.
-func (c *Cache[R]) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Batch[R], error) {
+// Watch waits for changes after a revision, for at most wait. It also returns, without
+// changes, when the store has confirmed the revision at a later time than confirmedAt.
+func (c *Cache[R]) Watch(
+	ctx context.Context, after uint64, confirmedAt time.Time, wait time.Duration,
+) (feed.Batch[R], error) {
 	b, changed, err := c.changesAfter(after)
-	if err != nil || len(b.Records) > 0 {
+	if err != nil || len(b.Records) > 0 || b.ConfirmedAt.After(confirmedAt) {
 		return b, err
 	}
 	timer := time.NewTimer(wait)
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/feed"
@@ -50,14 +51,23 @@
 	Records      []R           `cbor:"2,keyasint,omitempty"`
 	Revision     uint64        `cbor:"3,keyasint,omitempty"`
 	LatestChange uint64        `cbor:"4,keyasint,omitempty"`
-	// AgeMS is the time since the store confirmed Revision.
+	// AgeMS is the time since the store confirmed Revision, rounded up.
 	AgeMS uint32 `cbor:"5,keyasint,omitempty"`
+	// Relays is feed.Batch.Relays of the sender.
+	Relays int `cbor:"6,keyasint,omitempty"`
 }
 
-func newResponse[R any](b feed.Batch[R], now time.Time) response[R] {
+// newResponse returns the response for the result of a call to a Cache.
+func newResponse[R any](b feed.Batch[R], err error, now time.Time) response[R] {
+	switch {
+	case errors.Is(err, feed.ErrHistoryExpired):
+		return response[R]{Error: errorHistoryExpired}
+	case err != nil:
+		return response[R]{Error: errorUnavailable}
+	}
 	return response[R]{
 		Records: b.Records, Revision: b.Revision, LatestChange: b.LatestChange,
-		AgeMS: uint32(max(now.Sub(b.ConfirmedAt).Milliseconds(), 0)),
+		AgeMS: uint32(max(now.Sub(b.ConfirmedAt).Milliseconds()+1, 0)), Relays: b.Relays,
 	}
 }
 
@@ -72,6 +82,6 @@
 	}
 	return feed.Batch[R]{
 		Records: r.Records, Revision: r.Revision, LatestChange: r.LatestChange,
-		ConfirmedAt: now.Add(-time.Duration(r.AgeMS) * time.Millisecond),
+		ConfirmedAt: now.Add(-time.Duration(r.AgeMS) * time.Millisecond), Relays: r.Relays + 1,
 	}, nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -166,6 +166,8 @@
 	return g.latest
 }
 
+func (g *testGuide) Settled(time.Time) bool { return true }
+
 func (g *testGuide) SourceChanged(string, error) {}
 
 func (g *testGuide) set(latest uint64, peers ...Peer) {
@@ -305,21 +307,36 @@
 // Guards against a watch that misses changes which the log no longer holds.
 func TestWatchAfterExpiredHistoryIsAnError(t *testing.T) {
 	c := NewCache[string](&recorder{values: make(map[string]bool)}, func(v string) (string, bool) { return v, false })
-	_, err := c.Watch(t.Context(), 0, time.Second)
+	_, err := c.Watch(t.Context(), 0, time.Time{}, time.Second)
 	assert.ErrorIs(t, err, ErrUnavailable)
 	c.Replace(feed.Batch[string]{Records: []string{"a"}, Revision: 10}, false)
-	_, err = c.Watch(t.Context(), 9, time.Second)
+	_, err = c.Watch(t.Context(), 9, time.Time{}, time.Second)
 	assert.ErrorIs(t, err, feed.ErrHistoryExpired)
 	for revision := uint64(11); revision < 12+maxLogEntries; revision++ {
 		c.Update(feed.Batch[string]{Records: []string{"b"}, Revision: revision})
 	}
-	_, err = c.Watch(t.Context(), 10, time.Second)
+	_, err = c.Watch(t.Context(), 10, time.Time{}, time.Second)
 	assert.ErrorIs(t, err, feed.ErrHistoryExpired)
-	b, err := c.Watch(t.Context(), 11, time.Second)
+	b, err := c.Watch(t.Context(), 11, time.Time{}, time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, b.Revision, uint64(11+maxLogEntries))
 }
 
+// Guards against a confirmation that arrives between two watches and is delivered only
+// with the next one: the records of the follower would be twice as old.
+func TestConfirmationBetweenTwoWatchesIsDelivered(t *testing.T) {
+	c := NewCache[string](&recorder{values: make(map[string]bool)}, func(v string) (string, bool) { return v, false })
+	first := time.Now()
+	c.Replace(feed.Batch[string]{Revision: 10, ConfirmedAt: first}, false)
+	second := first.Add(time.Second)
+	c.Update(feed.Batch[string]{Revision: 10, ConfirmedAt: second})
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	b, err := c.Watch(ctx, 10, first, 2*testTimeout)
+	assert.NilError(t, err)
+	assert.Equal(t, b.ConfirmedAt, second)
+}
+
 // Guards against a message without end from a peer, which must not be kept in memory.
 func TestEndlessRequestEndsTheConnection(t *testing.T) {
 	store := newFakeStore("a")
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -15,37 +15,33 @@
 // Server serves the caches of a gateway to other gateways. It is an http.Handler.
 type Server struct {
 	// feeds answers the requests for each feed.
-	feeds map[string]func(context.Context, request) ([]byte, error)
+	feeds map[string]serveFunc
 }
 
+// serveFunc answers a request for a feed. confirmedAt is when the store confirmed what
+// the connection last delivered; serveFunc returns it for the response.
+type serveFunc func(ctx context.Context, r request, confirmedAt time.Time) ([]byte, time.Time, error)
+
 // NewServer returns a server without feeds.
 func NewServer() *Server {
-	return &Server{feeds: make(map[string]func(context.Context, request) ([]byte, error))}
+	return &Server{feeds: make(map[string]serveFunc)}
 }
 
 // AddFeed adds a feed under a name. It must be called before the server is used.
 func AddFeed[R any](s *Server, name string, c *Cache[R]) {
-	s.feeds[name] = func(ctx context.Context, r request) ([]byte, error) {
-		return cbor.Marshal(answer(ctx, c, r))
+	s.feeds[name] = func(ctx context.Context, r request, confirmedAt time.Time) ([]byte, time.Time, error) {
+		b, err := read(ctx, c, r, confirmedAt)
+		encoded, encodeErr := cbor.Marshal(newResponse(b, err, time.Now()))
+		return encoded, b.ConfirmedAt, encodeErr
 	}
 }
 
-// answer returns the response to a request for a feed.
-func answer[R any](ctx context.Context, c *Cache[R], r request) response[R] {
-	var b feed.Batch[R]
-	var err error
-	if r.Watch {
-		b, err = c.Watch(ctx, r.After, min(time.Duration(r.WaitMS)*time.Millisecond, maxWait))
-	} else {
-		b, err = c.List(ctx)
-	}
-	switch {
-	case errors.Is(err, feed.ErrHistoryExpired):
-		return response[R]{Error: errorHistoryExpired}
-	case err != nil:
-		return response[R]{Error: errorUnavailable}
+// read returns what a request asks for.
+func read[R any](ctx context.Context, c *Cache[R], r request, confirmedAt time.Time) (feed.Batch[R], error) {
+	if !r.Watch {
+		return c.List(ctx)
 	}
-	return newResponse(b, time.Now())
+	return c.Watch(ctx, r.After, confirmedAt, min(time.Duration(r.WaitMS)*time.Millisecond, maxWait))
 }
 
 // ServeHTTP implements http.Handler.
@@ -56,8 +52,9 @@
 	}
 	defer func() { _ = ws.CloseNow() }()
 	ws.SetReadLimit(maxRequestBytes)
+	confirmedAt := make(map[string]time.Time)
 	for r.Context().Err() == nil {
-		if err := s.serveRequest(r.Context(), ws); err != nil {
+		if err := s.serveRequest(r.Context(), ws, confirmedAt); err != nil {
 			return
 		}
 	}
@@ -66,8 +63,9 @@
 // errUnknownFeed ends a connection on which a feed was asked for that does not exist.
 var errUnknownFeed = errors.New("relay: unknown feed")
 
-// serveRequest reads and answers one request.
-func (s *Server) serveRequest(ctx context.Context, ws *websocket.Conn) error {
+// serveRequest reads and answers one request. confirmedAt holds, for each feed, when
+// the store confirmed what the connection last delivered.
+func (s *Server) serveRequest(ctx context.Context, ws *websocket.Conn, confirmedAt map[string]time.Time) error {
 	_, data, err := ws.Read(ctx)
 	if err != nil {
 		return err
@@ -80,10 +78,11 @@
 	if serve == nil {
 		return errUnknownFeed
 	}
-	encoded, err := serve(ctx, req)
+	encoded, confirmed, err := serve(ctx, req, confirmedAt[req.Feed])
 	if err != nil {
 		return err
 	}
+	confirmedAt[req.Feed] = confirmed
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	return ws.Write(ctx, websocket.MessageBinary, encoded)
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/feed"
@@ -25,6 +26,10 @@
 	maxCatchUpDelay = 100 * time.Millisecond
 	// catchUpWait is how long such a call to the store waits for changes.
 	catchUpWait = time.Millisecond
+	// maxRelays is the number of gateways that may have passed records on. A time that
+	// is passed on as an age grows later by the delay of each message, so gateways that
+	// read from each other would not notice by the age alone.
+	maxRelays = 4
 	// ageMargin is how much older than the wait of a watch the confirmation of a
 	// peer may be: it has to notice a dead connection of its own.
 	ageMargin = 1200 * time.Millisecond
@@ -35,6 +40,9 @@
 	// Peers returns the gateways to read from, the preferred one first. If there are
 	// none, this gateway reads the store.
 	Peers(now time.Time) []Peer
+	// Settled reports whether Peers can be relied on. It is false for a short time
+	// after the start of the process, in which no watch is started.
+	Settled(now time.Time) bool
 	// LatestChange returns the highest revision of a change of the feed that any
 	// gateway has reported.
 	LatestChange() uint64
@@ -103,7 +111,12 @@
 
 // Watch implements feed.Source.
 func (s *Source[R]) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Batch[R], error) {
-	p, ok := s.pick(time.Now())
+	now := time.Now()
+	if !s.guide.Settled(now) {
+		sleep(ctx, checkInterval)
+		return feed.Batch[R]{Revision: after}, ctx.Err()
+	}
+	p, ok := s.pick(now)
 	switch {
 	case s.catchUp:
 		s.catchUp = false
@@ -121,8 +134,7 @@
 // nothing is confirmed.
 func (s *Source[R]) watchPeer(ctx context.Context, p Peer, after uint64, wait time.Duration) (feed.Batch[R], error) {
 	watchCtx, stop := s.cancelWhenUseless(ctx, after, func(now time.Time) bool {
-		current, ok := s.pick(now)
-		return ok && current == p
+		return slices.Contains(s.guide.Peers(now), p)
 	})
 	b, err := s.client.watch(watchCtx, p, after, wait)
 	stop()
@@ -212,7 +224,9 @@
 	s.lastErr = nil
 }
 
-func (s *Source[R]) tooOld(b feed.Batch[R]) bool { return time.Since(b.ConfirmedAt) > s.maxAge }
+func (s *Source[R]) tooOld(b feed.Batch[R]) bool {
+	return time.Since(b.ConfirmedAt) > s.maxAge || b.Relays > maxRelays
+}
 
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
