backend, gateway: Bound what a server in trouble may send

Cause: heads, interim responses and bodies of skipped responses were read without a bound, until the deadline; a byte now and then counted as progress, so that a stalled response never counted as stalled; a response without an id was taken for that of the current request also on a connection in use again; a failure of more than 8 MB was cut to that size and looked complete; one of a stream was not checked for its signature.

Change: limits for heads (64 KB), interim responses (8) and skipped bodies (256 KB). Progress is made by events of a stream that have a field, or by 512 bytes of a buffered response within the time after which another instance is tried. At most 256 KB of a response are held; longer ones are forwarded while they arrive and cut if they break off.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -42,13 +42,17 @@
 	// MaxIdle is the maximum idle time of a pooled connection that the exchange
 	// reuses.
 	MaxIdle time.Duration
-	// Matches reports whether a response belongs to the request. Other responses
-	// are skipped. If nil, the first response is returned.
-	Matches func(*http.Response) bool
-	// OnStall, if set, is called every StallInterval while no data arrives. If
-	// OnStall returns an error, the exchange fails.
+	// Matches reports whether a response belongs to the request. reused is true if
+	// the connection carried other requests before. Other responses are skipped. If
+	// nil, the first response is returned.
+	Matches func(r *http.Response, reused bool) bool
+	// OnStall, if set, is called every StallInterval while the exchange makes no
+	// progress. If OnStall returns an error, the exchange fails. Progress is reported
+	// by Exchange.Progress, and made by the arrival of ProgressBytes unless that is 0:
+	// single bytes are no progress.
 	StallInterval time.Duration
 	OnStall       func(waited time.Duration) error
+	ProgressBytes int
 }
 
 // Exchange is a request that was sent and a response whose headers have been
@@ -62,9 +66,16 @@
 	ended            bool
 }
 
-// maxSkippedResponses is the maximum number of responses of other requests that
-// an exchange skips.
-const maxSkippedResponses = 2
+const (
+	// maxSkippedResponses is the maximum number of responses of other requests that
+	// an exchange skips, maxInterimResponses that of interim responses.
+	maxSkippedResponses = 2
+	maxInterimResponses = 8
+	// maxHeadBytes bounds the head of a response, maxSkippedBytes the body of a
+	// response that is skipped. A server in trouble may send bytes without end.
+	maxHeadBytes    = 64 << 10
+	maxSkippedBytes = 256 << 10
+)
 
 // Do sends a request and returns once the headers of its response have been
 // received. The caller must call Finish or Abort on the exchange. If ctx is
@@ -79,7 +90,7 @@
 	}
 	x := &Exchange{pool: p, conn: c}
 	x.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
-	c.deadline, c.stallInterval, c.onStall = o.Deadline, o.StallInterval, o.OnStall
+	c.begin(o)
 	if err := x.send(r, o.Deadline); err != nil {
 		x.Abort()
 		return nil, errors.Join(ErrExchangeFailed, err)
@@ -118,24 +129,26 @@
 
 // receive reads the headers of the response. It skips interim (1xx) responses
 // and responses that belong to other requests.
-func (x *Exchange) receive(r *Request, matches func(*http.Response) bool) error {
+func (x *Exchange) receive(r *Request, matches func(*http.Response, bool) bool) error {
 	request := &http.Request{Method: r.Method}
-	for skipped := 0; skipped <= maxSkippedResponses; {
-		resp, err := http.ReadResponse(x.conn.reader, request)
+	skipped, interim := 0, 0
+	for skipped <= maxSkippedResponses && interim <= maxInterimResponses {
+		resp, err := x.readHead(request)
 		if err != nil {
 			return err
 		}
 		if resp.StatusCode < http.StatusOK {
+			interim++
 			continue
 		}
-		if matches == nil || matches(resp) {
+		if matches == nil || matches(resp, x.conn.used) {
 			x.Response = resp
 			return nil
 		}
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return ErrUnmatchedResponse
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := discard(resp.Body); err != nil {
 			return err
 		}
 		skipped++
@@ -143,6 +156,30 @@
 	return ErrUnmatchedResponse
 }
 
+// readHead reads the head of a response.
+func (x *Exchange) readHead(request *http.Request) (*http.Response, error) {
+	x.conn.headBytesLeft = maxHeadBytes
+	x.conn.limitsHead = true
+	defer func() { x.conn.limitsHead = false }()
+	return http.ReadResponse(x.conn.reader, request)
+}
+
+// discard reads a body to its end, which must come within maxSkippedBytes.
+func discard(body io.Reader) error {
+	n, err := io.CopyN(io.Discard, body, maxSkippedBytes+1)
+	if err == nil {
+		return ErrUnmatchedResponse
+	}
+	if errors.Is(err, io.EOF) && n <= maxSkippedBytes {
+		return nil
+	}
+	return err
+}
+
+// Progress records that the exchange makes progress, such as after an event of a
+// stream.
+func (x *Exchange) Progress() { x.conn.recordProgress() }
+
 // Finish ends an exchange whose response body has been read to its end. It
 // returns the connection to the pool if it can be reused.
 func (x *Exchange) Finish() {
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -61,7 +61,7 @@
 func testOptions(id string) Options {
 	return Options{
 		Deadline: time.Now().Add(5 * time.Second), MaxIdle: time.Second,
-		Matches: func(r *http.Response) bool { return r.Header.Get("Id") == id },
+		Matches: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id },
 	}
 }
 
@@ -230,3 +230,114 @@
 		t.Fatal("the connection is still open 5 s after the context was cancelled")
 	}
 }
+
+// endless writes text to c until the other side closes the connection.
+func endless(c net.Conn, text string) {
+	for {
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against memory and time without bound when a server sends bytes without end
+// that are no answer, in a status line, a header field, header fields, interim
+// responses, or the body of a response of another request.
+func TestEndlessBytesEndTheExchange(t *testing.T) {
+	for name, answer := range map[string][2]string{
+		"status line":       {"", "x"},
+		"header field":      {"HTTP/1.1 200 OK\r\nId: 1\r\nX: ", "x"},
+		"header fields":     {"HTTP/1.1 200 OK\r\nId: 1\r\n", "X: y\r\n"},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"body of another":   {"HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"trailer":           {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+		"chunk extension":   {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, err := readRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, answer[0])
+				endless(c, answer[1])
+			})
+			started := time.Now()
+			_, err := doExchange(t, NewPool(), address, "1")
+			assert.Assert(t, err != nil)
+			assert.Assert(t, time.Since(started) < 2*time.Second, "ended by the deadline of 5 s, not by a limit")
+		})
+	}
+}
+
+// Guards against a server that stalls but sends a byte now and then, and so never
+// counts as stalled.
+func TestTrickledBytesAreNoProgress(t *testing.T) {
+	address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 100000\r\n\r\n")
+		for {
+			if _, err := io.WriteString(c, "x"); err != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	stalled := errors.New("stalled")
+	o := testOptions("1")
+	o.StallInterval, o.ProgressBytes = 200*time.Millisecond, 1000
+	o.OnStall = func(time.Duration) error { return stalled }
+	x, err := NewPool().Do(t.Context(), address, newPostRequest("1"), o)
+	assert.NilError(t, err)
+	defer x.Abort()
+	_, err = io.ReadAll(x.Response.Body)
+	assert.ErrorIs(t, err, stalled)
+}
+
+// Guards against a slow but sound response that counts as stalled: whenever enough
+// bytes arrive within the interval, it makes progress.
+func TestSlowResponseMakesProgress(t *testing.T) {
+	const pieces, pieceBytes = 40, 1000
+	address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n", pieces*pieceBytes)
+		for range pieces {
+			_, _ = c.Write(make([]byte, pieceBytes))
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	o := testOptions("1")
+	o.StallInterval, o.ProgressBytes = 200*time.Millisecond, 1000
+	o.OnStall = func(time.Duration) error { return errors.New("stalled") }
+	x, err := NewPool().Do(t.Context(), address, newPostRequest("1"), o)
+	assert.NilError(t, err)
+	defer x.Abort()
+	body, err := io.ReadAll(x.Response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), pieces*pieceBytes)
+}
+
+// Guards against a late response without an id on a connection in use again: only the
+// first request of a connection can't have been preceded by another one.
+func TestResponseIsMatchedOnReusedConnections(t *testing.T) {
+	address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			if _, err := readRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	p := NewPool()
+	o := testOptions("1")
+	o.Matches = func(_ *http.Response, reused bool) bool { return !reused }
+	for n := range 2 {
+		x, err := p.Do(t.Context(), address, newPostRequest("1"), o)
+		if n == 0 {
+			assert.NilError(t, err)
+			_, _ = io.ReadAll(x.Response.Body)
+			x.Finish()
+			continue
+		}
+		assert.Assert(t, err != nil)
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -28,41 +28,90 @@
 	// idleSince is the time at which the last exchange ended. The connection is
 	// not reused after idleUntil, because the instance may then close it.
 	idleSince, idleUntil time.Time
-	used                 bool
-	// onStall, if set, is called every stallInterval while a read waits. A read
-	// fails at deadline, unless deadline is zero.
+	// used is true if the connection has carried an exchange before.
+	used bool
+	// onStall, if set, is called every stallInterval without progress. A read fails at
+	// deadline, unless deadline is zero.
 	stallInterval time.Duration
 	onStall       func(waited time.Duration) error
 	deadline      time.Time
+	// progressAt is when progress was last made, nextStall when onStall is due.
+	progressAt, nextStall time.Time
+	// progressBytes is the number of bytes that count as progress, 0 if none do;
+	// newBytes is the number of bytes since the last progress.
+	progressBytes, newBytes int
+	// limitsHead is true while the head of a response is read, of which at most
+	// headBytesLeft more bytes may arrive.
+	limitsHead    bool
+	headBytesLeft int
 }
 
-// Read implements io.Reader. While no data arrives it calls onStall every
-// stallInterval, until onStall returns an error or the deadline passes.
+// errHeadTooLong means that the head of a response exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("backend: head of the response too long")
+
+// begin prepares the connection for an exchange.
+func (c *conn) begin(o Options) {
+	c.deadline, c.stallInterval, c.onStall, c.progressBytes = o.Deadline, o.StallInterval, o.OnStall, o.ProgressBytes
+	c.recordProgress()
+}
+
+func (c *conn) recordProgress() {
+	c.progressAt, c.newBytes = time.Now(), 0
+	c.nextStall = c.progressAt.Add(c.stallInterval)
+}
+
+// Read implements io.Reader. Without progress it calls onStall every stallInterval,
+// until onStall returns an error or the deadline passes.
 func (c *conn) Read(p []byte) (int, error) {
-	started := time.Now()
+	if c.limitsHead {
+		if c.headBytesLeft <= 0 {
+			return 0, errHeadTooLong
+		}
+		p = p[:min(len(p), c.headBytesLeft)]
+	}
 	for {
+		if err := c.checkStall(); err != nil {
+			return 0, err
+		}
 		limit := c.deadline
-		if c.onStall != nil {
-			if next := time.Now().Add(c.stallInterval); limit.IsZero() || next.Before(limit) {
-				limit = next
-			}
+		if c.onStall != nil && (limit.IsZero() || c.nextStall.Before(limit)) {
+			limit = c.nextStall
 		}
 		if err := c.Conn.SetReadDeadline(limit); err != nil {
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.onStall == nil {
+		if n > 0 {
+			c.countBytes(n)
 			return n, err
 		}
-		if !c.deadline.IsZero() && !time.Now().Before(c.deadline) {
-			return 0, err
-		}
-		if err := c.onStall(time.Since(started)); err != nil {
-			return 0, err
+		expired := !c.deadline.IsZero() && !time.Now().Before(c.deadline)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.onStall == nil || expired {
+			return n, err
 		}
 	}
 }
 
+// checkStall calls onStall if it is due.
+func (c *conn) checkStall() error {
+	now := time.Now()
+	if c.onStall == nil || now.Before(c.nextStall) {
+		return nil
+	}
+	err := c.onStall(now.Sub(c.progressAt))
+	c.nextStall = time.Now().Add(c.stallInterval)
+	return err
+}
+
+// countBytes records the arrival of n bytes.
+func (c *conn) countBytes(n int) {
+	c.headBytesLeft -= n
+	c.newBytes += n
+	if c.progressBytes > 0 && c.newBytes >= c.progressBytes {
+		c.recordProgress()
+	}
+}
+
 // Pool keeps idle connections for reuse. It is safe for concurrent use.
 type Pool struct {
 	dialer *net.Dialer
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/backend"
@@ -14,8 +15,9 @@
 )
 
 const (
-	// maxResponseBytes bounds a response that is buffered until it is complete.
-	maxResponseBytes = 8 << 20
+	// maxBufferedBytes bounds a response that is buffered until it is complete. A
+	// longer one is forwarded while it arrives, and can't be repeated.
+	maxBufferedBytes = 256 << 10
 	// maxIdleRepeatable and maxIdleOnce bound how long a reused connection to
 	// an instance may have been idle. The instance may close an idle connection
 	// while a request is on its way; a request that must run at most once can't
@@ -26,6 +28,9 @@
 	// idempotent request waits for its response before another instance is
 	// tried.
 	responseTimeoutFactor = 2
+	// minProgressBytes is the number of bytes that must arrive within that time for a
+	// response to count as on its way.
+	minProgressBytes = 512
 )
 
 // errNoResponse ends an exchange because another instance may answer sooner.
@@ -67,15 +72,19 @@
 		x.Abort()
 		return c.handleRefusal(first, reply, x.Response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
-		x.Abort()
-		return c.handleIncompleteResponse(first, errors.Join(backend.ErrExchangeFailed, err))
-	}
 	if !authentic(x.Response, reply) {
 		x.Abort()
 		return c.handleIncompleteResponse(first, errors.Join(backend.ErrExchangeFailed, errNotAuthentic))
 	}
+	body, complete, err := readStart(x.Response.Body)
+	if err != nil {
+		x.Abort()
+		return c.handleIncompleteResponse(first, errors.Join(backend.ErrExchangeFailed, err))
+	}
+	if !complete {
+		c.forwardLong(x, body)
+		return false
+	}
 	x.Finish()
 	if x.Response.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() {
 		c.recordPossibleRun(first.Instance)
@@ -93,6 +102,73 @@
 	return false
 }
 
+// readStart reads a body of at most maxBufferedBytes to its end. Of a longer one it
+// returns the start, and complete is false.
+func readStart(body io.Reader) (start []byte, complete bool, err error) {
+	start, err = io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
+	return start, len(start) <= maxBufferedBytes, err
+}
+
+// forwardLong forwards a response whose start was read and whose rest is too long to
+// be buffered. If it breaks off, the client's connection is closed, so that the client
+// sees that the response is incomplete. Without a length, it may also be one that never
+// ends; it ends at the deadline.
+func (c *call) forwardLong(x *backend.Exchange, start []byte) {
+	if x.Response.ContentLength >= 0 {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(x.Response.ContentLength, 10))
+	}
+	c.sendHeaders(x.Response)
+	_, err := c.w.Write(start)
+	if err == nil {
+		_, err = io.Copy(progressWriter{c.w, x}, x.Response.Body)
+	}
+	if err != nil {
+		x.Abort()
+		c.cut("long response: " + err.Error())
+	}
+	x.Finish()
+	c.g.tracker.RecordSuccess(c.lastPath.First().Instance)
+}
+
+// progressWriter writes to a client and records the progress of the exchange: while
+// the client reads slowly, nothing arrives from the instance.
+type progressWriter struct {
+	io.Writer
+	exchange *backend.Exchange
+}
+
+// Write implements io.Writer.
+func (w progressWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	w.exchange.Progress()
+	return n, err
+}
+
+// cut aborts the connection of a response that has begun, so that the client sees that
+// it is incomplete. It panics with http.ErrAbortHandler.
+func (c *call) cut(reason string) {
+	c.logEvent(events.StreamAborted).Str("reason", reason).Int("events", c.eventCount).Send()
+	c.g.metrics.recordCut()
+	panic(http.ErrAbortHandler)
+}
+
+// sendHeaders sends the headers of the first instance that answers to the client.
+func (c *call) sendHeaders(resp *http.Response) {
+	if c.sentStatus != 0 {
+		return
+	}
+	connection, length := c.w.Header().Get("Connection"), c.w.Header().Get("Content-Length")
+	copyHeaders(c.w.Header(), resp.Header)
+	if connection != "" {
+		c.w.Header().Set("Connection", connection)
+	}
+	if length != "" {
+		c.w.Header().Set("Content-Length", length)
+	}
+	c.sentStatus = resp.StatusCode
+	c.w.WriteHeader(resp.StatusCode)
+}
+
 // errNotAuthentic means that a response lacks the instance's signature, or has
 // a content encoding that the instance did not apply.
 var errNotAuthentic = errors.New("gateway: response without signature or with an encoding")
@@ -128,16 +204,17 @@
 	}
 	if c.route.Kind == routing.Idempotent && len(c.possiblyRanOn)+1 < c.route.MaxAttempts && c.route.LatencyObjective > 0 {
 		o.StallInterval = responseTimeoutFactor * c.route.LatencyObjective
-		o.OnStall = func(time.Duration) error { return errNoResponse }
+		o.OnStall, o.ProgressBytes = func(time.Duration) error { return errNoResponse }, minProgressBytes
 	}
 	return o
 }
 
 // belongsToCall reports whether a response belongs to this call. A response that
-// carries no ID counts as belonging to it.
-func (c *call) belongsToCall(resp *http.Response) bool {
+// carries no ID counts as belonging to it only if it can't be a late one for an earlier
+// request of the connection.
+func (c *call) belongsToCall(resp *http.Response, reused bool) bool {
 	id := c.g.protocol.Reply(resp).ID
-	return id == "" || id == c.inbound.ID
+	return id == c.inbound.ID || id == "" && !reused
 }
 
 // handleIncompleteResponse handles an exchange that ended without a complete
@@ -260,12 +337,6 @@
 
 // sendResponse sends an instance's response to the client.
 func (c *call) sendResponse(resp *http.Response, body []byte) {
-	connection := c.w.Header().Get("Connection")
-	copyHeaders(c.w.Header(), resp.Header)
-	if connection != "" {
-		c.w.Header().Set("Connection", connection)
-	}
-	c.sentStatus = resp.StatusCode
-	c.w.WriteHeader(resp.StatusCode)
+	c.sendHeaders(resp)
 	_, _ = c.w.Write(body)
 }
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -13,12 +13,10 @@
 	// from it to separately allocated memory.
 	eventBufferBytes = 2 << 10
 	// maxEventBytes is the maximum size of an event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 )
 
-// errEventTooLong means that an event of several lines exceeds maxEventBytes. For
-// an event that exceeds it within a line longer than the read buffer, readEvent
-// can return bufio.ErrBufferFull instead.
+// errEventTooLong means that an event exceeds maxEventBytes.
 var errEventTooLong = errors.New("gateway: event too long")
 
 // readEvent reads one event, including the empty line that ends it, and returns
@@ -28,7 +26,10 @@
 	for {
 		fragment, err := r.ReadSlice('\n')
 		event = append(event, fragment...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
+		if len(event) > maxEventBytes {
+			return nil, "", errEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err == io.EOF && len(event) > 0 {
@@ -37,9 +38,6 @@
 		if err != nil {
 			return nil, "", err
 		}
-		if len(event) > maxEventBytes {
-			return nil, "", errEventTooLong
-		}
 		// fragment is a whole line, or the end of a line that is longer than the
 		// read buffer.
 		text := bytes.TrimRight(fragment, "\r\n")
@@ -52,6 +50,17 @@
 	}
 }
 
+// isProgress reports whether an event shows that its stream goes on: it has a field.
+// Comments keep a connection open but may come from an instance that has stalled.
+func isProgress(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventRelation relates an event to the last event sent to the client.
 type eventRelation int
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -129,14 +129,6 @@
 	s.cut("no instance continues the stream: " + err.Error())
 }
 
-// cut aborts the connection of a stream that has begun, so that the client sees
-// that the stream is incomplete. It panics with http.ErrAbortHandler.
-func (s *stream) cut(reason string) {
-	s.logEvent(events.StreamAborted).Str("reason", reason).Int("events", s.eventCount).Send()
-	s.g.metrics.recordCut()
-	panic(http.ErrAbortHandler)
-}
-
 // tryPath sends the request to the first instance of a path and relays the
 // stream. It returns true if another path should be tried.
 func (s *stream) tryPath(path chain.Path) bool {
@@ -163,7 +155,7 @@
 		return s.handleIncomplete(first, errors.Join(backend.ErrExchangeFailed, errNotAuthentic))
 	}
 	s.sendHeaders(x.Response)
-	err = s.relay(x.Response.Body)
+	err = s.relay(x)
 	if err == nil {
 		x.Finish()
 		s.g.tracker.RecordPathSuccess(s.currentGrant().Path)
@@ -176,11 +168,23 @@
 // handleNonStream handles a response that is not a stream, that is, one with a
 // status other than 200. It returns true if another path should be tried.
 func (s *stream) handleNonStream(x *backend.Exchange, first chain.Stage) bool {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxResponseBytes))
+	if !authentic(x.Response, s.g.protocol.Reply(x.Response)) {
+		x.Abort()
+		return s.handleIncomplete(first, errors.Join(backend.ErrExchangeFailed, errNotAuthentic))
+	}
+	body, complete, err := readStart(x.Response.Body)
 	if err != nil {
 		x.Abort()
 		return s.handleIncomplete(first, errors.Join(backend.ErrExchangeFailed, err))
 	}
+	if !complete {
+		if s.sentStatus != 0 {
+			x.Abort()
+			s.cut("the instance fails: " + x.Response.Status)
+		}
+		s.forwardLong(x, body)
+		return false
+	}
 	x.Finish()
 	s.recordPossibleRun(first.Instance)
 	s.avoid = append(s.avoid, first.Instance)
@@ -194,24 +198,9 @@
 	return false
 }
 
-// sendHeaders sends the headers of the first instance that answers to the
-// client.
-func (s *stream) sendHeaders(resp *http.Response) {
-	if s.sentStatus != 0 {
-		return
-	}
-	connection := s.w.Header().Get("Connection")
-	copyHeaders(s.w.Header(), resp.Header)
-	if connection != "" {
-		s.w.Header().Set("Connection", connection)
-	}
-	s.sentStatus = resp.StatusCode
-	s.w.WriteHeader(resp.StatusCode)
-}
-
 // relay forwards whole events until the stream is complete.
-func (s *stream) relay(body io.Reader) error {
-	r := bufio.NewReaderSize(body, eventBufferBytes)
+func (s *stream) relay(x *backend.Exchange) error {
+	r := bufio.NewReaderSize(x.Response.Body, eventBufferBytes)
 	for {
 		event, id, err := readEvent(r)
 		if err == io.EOF && len(event) == 0 {
@@ -220,34 +209,41 @@
 		if err != nil {
 			return errors.Join(backend.ErrExchangeFailed, err)
 		}
-		if err := s.forwardEvent(event, id); err != nil {
+		forwarded, err := s.forwardEvent(event, id)
+		if err != nil {
 			return err
 		}
+		if forwarded && isProgress(event) {
+			x.Progress()
+		}
 	}
 }
 
-// forwardEvent sends one event to the client unless the client already has it.
-func (s *stream) forwardEvent(event []byte, id string) error {
+// forwardEvent sends one event to the client unless the client already has it, and
+// reports whether it did.
+func (s *stream) forwardEvent(event []byte, id string) (bool, error) {
 	if id != "" {
 		switch compareEventIDs(id, s.lastEvent) {
 		case eventAlreadySent:
-			return nil
+			return false, nil
 		case eventAfterGap:
-			return errors.Join(backend.ErrExchangeFailed, errEventMissing)
+			return false, errors.Join(backend.ErrExchangeFailed, errEventMissing)
 		}
 	}
 	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := s.w.Write(event); err != nil {
-		return errClientGone
+		return false, errClientGone
 	}
 	if err := s.control.Flush(); err != nil {
-		return errClientGone
+		return false, errClientGone
+	}
+	if isProgress(event) {
+		s.recordEvent(time.Now())
 	}
-	s.recordEvent(time.Now())
 	if id != "" {
 		s.lastEvent = id
 	}
-	return nil
+	return true, nil
 }
 
 // recordEvent records the times of events for the metrics and the log.
