chain: Count what neighbours place between their reports

Change: a gateway assumes that each neighbour has placed on an instance in the last two intervals of reports as much as itself, and leaves .006 of the KV cache free for each neighbour, up to .11.

--- a/internal/chain/path.go
+++ b/internal/chain/path.go
@@ -66,6 +66,8 @@
 	view *fleet.View, s *routing.Service, domain string, includeAvoided bool, now time.Time,
 ) []candidate {
 	var list []candidate
+	neighbours := t.neighbours(now)
+	maxReserved := max(maxReservedShare-float64(neighbours)*neighbourMargin, minReservedShare)
 	for _, in := range view.Instances {
 		if in.Service != s.Name || in.Domain != domain || in.Draining || in.Layers.Len() == 0 {
 			continue
@@ -78,8 +80,9 @@
 		if state.requests >= in.Slots && in.Slots > 0 {
 			continue
 		}
+		state.addUnreported(neighbours, now)
 		list = append(list, candidate{in, t.layerTime(s.Model, accelerator, state),
-			t.freeKVCache(s.Model, accelerator, in, state, now)})
+			t.freeKVCache(s.Model, accelerator, in, state, maxReserved, now)})
 	}
 	// A fixed order makes the choice deterministic.
 	slices.SortFunc(list, func(a, b candidate) int {
@@ -92,11 +95,12 @@
 }
 
 // freeKVCache returns the KV cache, in tokens times layers, that may still be
-// reserved on an instance.
+// reserved on an instance if maxReserved is the share of it that may be reserved.
 func (t *InstanceTracker) freeKVCache(
-	m *routing.Model, accelerator routing.Accelerator, in fleet.Instance, state instanceState, now time.Time,
+	m *routing.Model, accelerator routing.Accelerator, in fleet.Instance, state instanceState, maxReserved float64,
+	now time.Time,
 ) float64 {
-	limit := KVCacheCapacity(m, accelerator, in.Layers.Len()) * maxReservedShare
+	limit := KVCacheCapacity(m, accelerator, in.Layers.Len()) * maxReserved
 	if now.Before(state.fullUntil) {
 		limit = min(limit, state.fullLimit)
 	}
--- a/internal/chain/peers.go
+++ b/internal/chain/peers.go
@@ -31,6 +31,8 @@
 
 // Report is what one gateway reports about instances to the other gateways.
 type Report struct {
+	// Group is true if the report sums up the gateways of another failure domain.
+	Group  bool
 	Loads  []Load
 	Faults []Fault
 	Slow   []Slowness
@@ -44,7 +46,9 @@
 type peerReport struct {
 	number     uint64
 	receivedAt time.Time
-	loads      map[string]Load
+	// group is true if the report sums up several gateways.
+	group bool
+	loads map[string]Load
 	// faults holds when each reported fault ends.
 	faults map[string]time.Time
 }
@@ -129,7 +133,7 @@
 	if number < p.number {
 		return
 	}
-	p.receivedAt = now
+	p.receivedAt, p.group = now, r.Group
 	for _, load := range r.Loads {
 		p.loads[load.Instance] = load
 	}
--- a/internal/chain/tracker.go
+++ b/internal/chain/tracker.go
@@ -14,6 +14,14 @@
 // the rest absorbs responses that grow longer than expected.
 const maxReservedShare = 0.97
 
+// neighbourMargin is the share of an instance's KV cache by which each neighbour
+// lowers maxReservedShare, down to minReservedShare: several of them may find the same
+// room at the same moment.
+const (
+	neighbourMargin  = 0.006
+	minReservedShare = 0.86
+)
+
 // instanceState is the load that this process puts on an instance, and the health
 // of the instance as far as this process knows it.
 type instanceState struct {
@@ -21,6 +29,8 @@
 	// all requests.
 	tokenLayers float64
 	requests    int
+	// recent is the load that was added since a report.
+	recent recentLoad
 	// slowness is the factor by which the instance was slower than usual for its
 	// accelerator type at slowAt.
 	slowness float64
@@ -174,7 +184,7 @@
 	}
 	switch {
 	case fastest != nil:
-		return t.reserve(fastest, float64(d.Tokens)), nil
+		return t.place(fastest, float64(d.Tokens), now), nil
 	case pathExists:
 		return Grant{}, ErrFull
 	}
@@ -217,6 +227,15 @@
 	return Grant{p, tokens}
 }
 
+// place reserves a path for a new request.
+func (t *InstanceTracker) place(p Path, tokens float64, now time.Time) Grant {
+	g := t.reserve(p, tokens)
+	for _, stage := range p {
+		t.ensureState(stage.Instance).recent.add(tokens*float64(stage.To-stage.From), now)
+	}
+	return g
+}
+
 // Release ends a reservation made by Choose, Reroute or Restore.
 func (t *InstanceTracker) Release(g Grant) {
 	t.mu.Lock()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -209,7 +209,7 @@
 
 // report returns the loads, faults and slowness in m.
 func (m message) report() chain.Report {
-	var r chain.Report
+	r := chain.Report{Group: m.Members > 0}
 	for _, l := range m.Loads {
 		r.Loads = append(r.Loads, chain.Load{
 			Instance: l.Instance, TokenLayers: float64(l.TokenLayers), Requests: int(l.Requests),
