--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/process"
 )
 
 // ErrHistoryExpired is returned by a watch that starts at a revision which the
@@ -149,7 +151,7 @@
 	f.revision = max(f.revision, b.Revision)
 	f.handler.Update(b)
 	if len(b.Records) > 0 {
-		sleep(ctx, f.options.Pause)
+		process.Sleep(ctx, f.options.Pause)
 	}
 	return nil
 }
@@ -170,16 +172,6 @@
 		f.handler.SourceFailed(err)
 	}
 	f.revision = 0
-	sleep(ctx, f.retryDelay)
+	process.Sleep(ctx, f.retryDelay)
 	f.retryDelay = min(2*f.retryDelay, maxRetryDelay)
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/feed"
 	"github.com/nutmegroute/nutmegroute/internal/gossip"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 )
 
 const (
@@ -97,12 +98,7 @@
 			return
 		}
 		g.log.LogRateLimited(events.GatewayStoreUnavailable).Str("feed", "registration").Err(err).Send()
-		timer := time.NewTimer(registerInterval)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		process.Sleep(ctx, registerInterval)
 	}
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -86,3 +86,13 @@
 	}
 	return err
 }
+
+// Sleep waits for d or until ctx is done.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/feed"
+	"github.com/nutmegroute/nutmegroute/internal/process"
 )
 
 const (
@@ -113,7 +114,7 @@
 func (s *Source[R]) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Batch[R], error) {
 	now := time.Now()
 	if !s.guide.Settled(now) {
-		sleep(ctx, checkInterval)
+		process.Sleep(ctx, checkInterval)
 		return feed.Batch[R]{Revision: after}, ctx.Err()
 	}
 	p, ok := s.pick(now)
@@ -147,7 +148,7 @@
 	if err != nil {
 		s.avoid(p, err)
 		s.catchUp = true
-		sleep(ctx, rand.N(maxCatchUpDelay))
+		process.Sleep(ctx, rand.N(maxCatchUpDelay))
 		return feed.Batch[R]{Revision: after}, ctx.Err()
 	}
 	s.highest = max(s.highest, b.Revision)
@@ -227,13 +228,3 @@
 func (s *Source[R]) tooOld(b feed.Batch[R]) bool {
 	return time.Since(b.ConfirmedAt) > s.maxAge || b.Relays > maxRelays
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
