gateway: A slow client of a long response, and one that does not read

Cause: each write of a long response counted as progress, so that one that arrives byte by byte never counted as stalled; a client that does not read held the exchange without a limit; a long failure counted as a success of its instance.

Change: only a write that took 0.1 s restarts the measure of progress; a write must end within 10 s, as for streams; a failure of 500 or more is no success.

Ruled out: a write deadline that outlives its stream on a kept connection (a trial test passed; net/http clears it).

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -118,29 +118,40 @@
 		c.w.Header().Set("Content-Length", strconv.FormatInt(x.Response.ContentLength, 10))
 	}
 	c.sendHeaders(x.Response)
-	_, err := c.w.Write(start)
+	client := clientWriter{c.w, http.NewResponseController(c.w), x}
+	_, err := client.Write(start)
 	if err == nil {
-		_, err = io.Copy(progressWriter{c.w, x}, x.Response.Body)
+		_, err = io.Copy(client, x.Response.Body)
 	}
 	if err != nil {
 		x.Abort()
 		c.cut("long response: " + err.Error())
 	}
 	x.Finish()
-	c.g.tracker.RecordSuccess(c.lastPath.First().Instance)
+	if x.Response.StatusCode < http.StatusInternalServerError {
+		c.g.tracker.RecordSuccess(c.lastPath.First().Instance)
+	}
 }
 
-// progressWriter writes to a client and records the progress of the exchange: while
-// the client reads slowly, nothing arrives from the instance.
-type progressWriter struct {
+// slowWrite is the time from which on a write shows that the client reads slowly.
+const slowWrite = 100 * time.Millisecond
+
+// clientWriter writes the response of an exchange to a client. Each write must end
+// within writeTimeout. A slow client does not make the instance count as stalled.
+type clientWriter struct {
 	io.Writer
+	control  *http.ResponseController
 	exchange *backend.Exchange
 }
 
 // Write implements io.Writer.
-func (w progressWriter) Write(p []byte) (int, error) {
+func (w clientWriter) Write(p []byte) (int, error) {
+	started := time.Now()
+	_ = w.control.SetWriteDeadline(started.Add(writeTimeout))
 	n, err := w.Writer.Write(p)
-	w.exchange.Progress()
+	if time.Since(started) > slowWrite {
+		w.exchange.Progress()
+	}
 	return n, err
 }
 
