--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -209,6 +209,20 @@
 	return g
 }
 
+// startReaderAndFollower starts a gateway that reads from a store, and one that reads
+// from it and has a store of its own, to tell its calls apart. Both have read the
+// record a.
+func startReaderAndFollower(t *testing.T) (reader *testGateway, readerStore *fakeStore, follower *testGateway,
+	ownStore *fakeStore) {
+	t.Helper()
+	readerStore, ownStore = newFakeStore("a"), newFakeStore("a")
+	reader = startGateway(t, readerStore)
+	wait(t, reader.has("a"))
+	follower = startGateway(t, ownStore, reader.peer)
+	wait(t, follower.has("a"))
+	return reader, readerStore, follower, ownStore
+}
+
 func wait(t *testing.T, check poll.Check) {
 	t.Helper()
 	poll.WaitOn(t, check, poll.WithTimeout(testTimeout), poll.WithDelay(5*time.Millisecond))
@@ -217,11 +231,7 @@
 // Guards against a gateway that asks the store although a peer serves it what it
 // reads: two calls every three seconds for each of a hundred gateways.
 func TestFollowerCausesNoCallsToTheStore(t *testing.T) {
-	readerStore, ownStore := newFakeStore("a"), newFakeStore("a")
-	reader := startGateway(t, readerStore)
-	wait(t, reader.has("a"))
-	follower := startGateway(t, ownStore, reader.peer)
-	wait(t, follower.has("a"))
+	_, readerStore, follower, ownStore := startReaderAndFollower(t)
 	readerStore.add("b")
 	wait(t, follower.has("b"))
 	time.Sleep(2 * testWait)
@@ -231,11 +241,7 @@
 // Guards against an error of one reader that becomes an error of its followers: a
 // reader that is cut off from the store says so, and its followers read the store.
 func TestFollowerOfACutReaderReadsTheStore(t *testing.T) {
-	readerStore, ownStore := newFakeStore("a"), newFakeStore("a")
-	reader := startGateway(t, readerStore)
-	wait(t, reader.has("a"))
-	follower := startGateway(t, ownStore, reader.peer)
-	wait(t, follower.has("a"))
+	_, readerStore, follower, ownStore := startReaderAndFollower(t)
 	readerStore.change(func() { readerStore.down = true })
 	ownStore.add("b")
 	wait(t, follower.has("b"))
@@ -246,11 +252,7 @@
 // does not know it yet, while other gateways know a change. The follower must learn
 // of the change long before the reader's connection is given up.
 func TestFollowerNoticesThatItsReaderIsBehind(t *testing.T) {
-	readerStore, ownStore := newFakeStore("a"), newFakeStore("a")
-	reader := startGateway(t, readerStore)
-	wait(t, reader.has("a"))
-	follower := startGateway(t, ownStore, reader.peer)
-	wait(t, follower.has("a"))
+	reader, readerStore, follower, ownStore := startReaderAndFollower(t)
 	readerStore.change(func() { readerStore.hanging = true })
 	ownStore.add("b")
 	started := time.Now()
@@ -262,11 +264,7 @@
 // Guards against a follower that waits for a reader which no longer counts as alive,
 // such as one that is suspended.
 func TestFollowerLeavesASilentReader(t *testing.T) {
-	readerStore, ownStore := newFakeStore("a"), newFakeStore("a")
-	reader := startGateway(t, readerStore)
-	wait(t, reader.has("a"))
-	follower := startGateway(t, ownStore, reader.peer)
-	wait(t, follower.has("a"))
+	_, _, follower, ownStore := startReaderAndFollower(t)
 	ownStore.add("b")
 	follower.guide.set(0)
 	wait(t, follower.has("b"))
