gateway: Log parts of prompts and ended instances of interrupted responses

Change: NR1821 for each response that an instance broke off, with the shared parts of the prompt and whether the instance refuses connections since (one shared check of at most two connections); parts in NR1800; two counters. No decision uses them yet.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -44,6 +44,11 @@
 	FeedSourceChanged = define(1820, "feed-source-changed", zerolog.InfoLevel,
 		"The gateway reads a feed of the platform's store from another relay, or from the store itself if the field relay "+
 			"is empty; an error says why the previous relay was given up.", noAction)
+	ResponseInterrupted = define(1821, "response-interrupted", zerolog.WarnLevel,
+		"An instance closed the connection of a request before its response was complete. The field ended tells whether the "+
+			"instance has refused connections since, events how many events it had sent, parts the shared parts of the prompt.",
+		"If ended is true, check the instance. If many instances ended under requests without events that share a part, "+
+			"requests with that part may crash instances.")
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -236,6 +236,7 @@
 		return false
 	}
 	unsent := errors.Is(err, backend.ErrNotSent)
+	c.observeInterruption(first, err)
 	if !unsent {
 		c.recordPossibleRun(first.Instance)
 	}
--- /dev/null
+++ b/internal/gateway/endings.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/backend"
+	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/events"
+)
+
+const (
+	// endCheckTimeout bounds one connection attempt of an end check.
+	endCheckTimeout = 300 * time.Millisecond
+	// endCheckDelay is the time between two attempts: a connection may still be accepted
+	// while the process of an instance ends.
+	endCheckDelay    = 150 * time.Millisecond
+	endCheckAttempts = 2
+	// endCheckMaxAge is how long the result of an end check is reused. All responses of
+	// an instance break off together when it ends.
+	endCheckMaxAge = time.Second
+)
+
+// endDetector finds out whether an instance that closed a connection has ended: whether
+// nothing listens on its address. It is safe for concurrent use.
+type endDetector struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	// mu guards checks, which holds the latest check of each instance by address.
+	mu     sync.Mutex
+	checks map[string]*endCheck
+}
+
+// endCheck is one check of an instance.
+type endCheck struct {
+	startedAt time.Time
+	// done is closed when ended is set; ended may be read only afterwards.
+	done  chan struct{}
+	ended bool
+}
+
+func newEndDetector() *endDetector {
+	return &endDetector{dial: backend.NewDialer().DialContext, checks: make(map[string]*endCheck)}
+}
+
+// Ended reports whether the instance at address refuses connections. Concurrent callers
+// share one check.
+func (d *endDetector) Ended(ctx context.Context, address string, now time.Time) bool {
+	d.mu.Lock()
+	check := d.checks[address]
+	if check != nil && now.Sub(check.startedAt) <= endCheckMaxAge {
+		d.mu.Unlock()
+		<-check.done
+		return check.ended
+	}
+	check = &endCheck{startedAt: now, done: make(chan struct{})}
+	d.checks[address] = check
+	d.mu.Unlock()
+	check.ended = d.refusesConnections(ctx, address)
+	close(check.done)
+	return check.ended
+}
+
+func (d *endDetector) refusesConnections(ctx context.Context, address string) bool {
+	for attempt := range endCheckAttempts {
+		if attempt > 0 {
+			time.Sleep(endCheckDelay)
+		}
+		ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+		conn, err := d.dial(ctx, "tcp", address)
+		cancel()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+	return false
+}
+
+// prune deletes the checks that are no longer reused.
+func (d *endDetector) prune(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, check := range d.checks {
+		if now.Sub(check.startedAt) > endCheckMaxAge {
+			delete(d.checks, address)
+		}
+	}
+}
+
+// closedByInstance reports whether an exchange failed because the instance closed the
+// connection after the request was sent.
+func closedByInstance(err error) bool {
+	return !errors.Is(err, backend.ErrNotSent) &&
+		(errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+			errors.Is(err, syscall.EPIPE))
+}
+
+// observeInterruption logs a response that an instance broke off, after a check of
+// whether the instance has ended.
+func (c *call) observeInterruption(first chain.Stage, err error) {
+	if !closedByInstance(err) {
+		return
+	}
+	ctx, now := context.WithoutCancel(c.context()), time.Now()
+	line := c.logEvent(events.ResponseInterrupted).Str("instance", first.Instance).Err(err).
+		Int("events", c.eventCount).Strs("parts", c.inbound.SharedParts)
+	unanswered := c.eventCount == 0
+	go func() {
+		ended := c.g.ends.Ended(ctx, first.Address, now)
+		line.Bool("ended", ended).Send()
+		c.g.metrics.recordInterruption(unanswered && ended)
+	}()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	admission   *admission
 	budget      *retry.Budget
 	faults      *faultFinder
+	ends        *endDetector
 	idleConns   *idleConnections
 	streams     *activeStreams
 	// reporter is nil until the gateway has joined its peers, and always nil if
@@ -107,6 +108,7 @@
 		pool:      backend.NewPool(),
 		admission: newAdmission(tracker, directory),
 		faults:    newFaultFinder(p.Engines, tracker, directory, log),
+		ends:      newEndDetector(),
 		idleConns: newIdleConnections(),
 		streams:   newActiveStreams(),
 		synced:    make(chan struct{}),
@@ -270,6 +272,7 @@
 		g.tracker.Prune(view)
 		g.faults.RemeasureSlow(ctx, view, now)
 		g.faults.RecheckLost(ctx, view, now)
+		g.ends.prune(now)
 		g.metrics.inFlight.Update(float64(g.inFlight.Load()))
 	})
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -38,7 +38,7 @@
 	}
 	c.logEvent(events.RequestDone).Int("events", c.eventCount).Dur("first_ms", c.firstEvent).
 		Dur("gap_ms", c.longestGap).Int("status", c.sentStatus).Dur("waited_ms", c.waited).
-		Str("path", formatPath(c.lastPath)).Strs("ran", c.possiblyRanOn).Send()
+		Str("path", formatPath(c.lastPath)).Strs("ran", c.possiblyRanOn).Strs("parts", c.inbound.SharedParts).Send()
 }
 
 // formatPath formats a path as a list of INSTANCE:FROM-TO, separated by spaces.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,8 @@
 	admissionWait tally.Histogram
 	repeats       tally.Counter
 	cuts          tally.Counter
+	interrupted   tally.Counter
+	unanswered    tally.Counter
 	inFlight      tally.Gauge
 	storeAge      tally.Gauge
 }
@@ -28,6 +30,8 @@
 		admissionWait: scope.Histogram("admission_wait", buckets),
 		repeats:       scope.Counter("repeats"),
 		cuts:          scope.Counter("streams_cut"),
+		interrupted:   scope.Counter("responses_interrupted"),
+		unanswered:    scope.Counter("requests_unanswered_at_instance_end"),
 		inFlight:      scope.Gauge("requests_in_flight"),
 		storeAge:      scope.Gauge("store_age_seconds"),
 	}
@@ -50,4 +54,13 @@
 
 func (m *gatewayMetrics) recordRepeat() { m.repeats.Inc(1) }
 
+// recordInterruption counts a response that an instance broke off, and a request that
+// an instance had not begun to answer when it ended.
+func (m *gatewayMetrics) recordInterruption(unansweredAtEnd bool) {
+	m.interrupted.Inc(1)
+	if unansweredAtEnd {
+		m.unanswered.Inc(1)
+	}
+}
+
 func (m *gatewayMetrics) recordCut() { m.cuts.Inc(1) }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -61,6 +61,9 @@
 	PromptTokens, MaxOutputTokens, ExpectedOutput int
 	// LastEvent is the id of the last event that the client has.
 	LastEvent string
+	// SharedParts identifies the parts of the prompt that other requests may share, in
+	// their order: all but the last one.
+	SharedParts []string
 }
 
 // Outbound is what a request to an instance carries in addition to the client's
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -335,6 +335,7 @@
 		return true
 	}
 	unsent := errors.Is(err, backend.ErrNotSent)
+	s.observeInterruption(first, err)
 	switch {
 	case unsent:
 		s.g.tracker.RecordUnreachable(first.Instance, time.Now())
