gateway: Refuse requests with a part that crashes instances

Callers saw: while requests with one part in their prompts came, engine after engine ended, each with 16 to 72 streams of other callers; all streaming routes failed a tenth or more of their requests. Cause: a crash was taken for a fault of the instance. Each gateway avoided the instance and sent the request, or the next one with that part, to another. Nothing remembered what the requests on ended instances had in common, and nothing was shared between gateways. Class: a request that ends whatever serves it, retried. Change: internal/quarantine. Parts of requests whose instance ended (it closed the connection and refuses new ones) before it began to answer are suspects; an answer to another request clears its parts, also at other gateways. Three crashes of which one followed another, or five, quarantine a part; five of which two followed others if the part was answered before. Suspects and decisions travel in the reports between gateways, whoever passes them on; decisions lie in the platform's store (kind router-quarantines), so that they survive a restart of all gateways. One gate in front of all sends (exchange) checks the parts, and reroutes check them too. The answer is 400, which clients don't retry. An operator sees NR1822 and NR1823. Ruled out: probing after a while (three sends are all that is allowed); blame by route or caller, which sound requests share; counting closed connections without a check that the instance ended (servers that reset requests would blame sound parts).

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -49,6 +49,15 @@
 			"instance has refused connections since, events how many events it had sent, parts the shared parts of the prompt.",
 		"If ended is true, check the instance. If many instances ended under requests without events that share a part, "+
 			"requests with that part may crash instances.")
+	PartQuarantined = define(1822, "part-quarantined", zerolog.ErrorLevel,
+		"Instances end as soon as they begin to answer requests with this part in their prompts; such requests are refused "+
+			"from now on. The field source tells whether this gateway decided by crashes that it knows (evidence), or took the "+
+			"decision over from another gateway (peer) or the store.",
+		"Find out why the part crashes instances: see the response-interrupted lines that name it. If the decision is wrong or "+
+			"the cause is mended, release the part with nutmegctl.")
+	PartReleased = define(1823, "part-released", zerolog.WarnLevel,
+		"Requests with a part that was quarantined are served again. The field source tells whether one of them was answered, an "+
+			"operator released the part, or the decision came from another gateway or the store.", noAction)
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -62,8 +62,7 @@
 func (c *call) tryInstance(grant chain.Grant) bool {
 	first := grant.Path.First()
 	c.lastPath = grant.Path
-	c.sends++
-	x, err := c.g.pool.Do(c.context(), first.Address, c.request(grant.Path, c.inbound.LastEvent), c.bufferedOptions())
+	x, err := c.exchange(grant.Path, c.inbound.LastEvent, c.bufferedOptions())
 	if err != nil {
 		return c.handleIncompleteResponse(first, err)
 	}
@@ -86,6 +85,7 @@
 		return false
 	}
 	x.Finish()
+	c.recordAnswered(c.respondedAt)
 	if x.Response.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() {
 		c.recordPossibleRun(first.Instance)
 		c.avoid = append(c.avoid, first.Instance)
@@ -235,8 +235,11 @@
 	if c.clientGone() {
 		return false
 	}
-	unsent := errors.Is(err, backend.ErrNotSent)
 	c.observeInterruption(first, err)
+	if c.refuseQuarantined() {
+		return false
+	}
+	unsent := errors.Is(err, backend.ErrNotSent)
 	if !unsent {
 		c.recordPossibleRun(first.Instance)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/retry"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
@@ -40,6 +41,15 @@
 	// counts how often it was sent to an instance.
 	possiblyRanOn []string
 	sends         int
+	// parts are the shared parts of the prompt.
+	parts []quarantine.Part
+	// sentAt and respondedAt are when the latest exchange sent the request and received
+	// the head of the response.
+	sentAt, respondedAt time.Time
+	// answerEvents is the number of events of the latest exchange, answerBegunAt when the
+	// first of them arrived.
+	answerEvents  int
+	answerBegunAt time.Time
 	// eventCount is the number of events of a stream sent to the client,
 	// firstEvent the time until the first one, longestGap the longest pause
 	// between two.
@@ -67,6 +77,9 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, inbound: g.protocol.Inbound(r.Header), started: time.Now()}
+	for _, part := range c.inbound.SharedParts {
+		c.parts = append(c.parts, quarantine.Part(part))
+	}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if g.draining() {
@@ -76,6 +89,9 @@
 	if !c.waitForSync() || !c.resolve() || !c.readBody() {
 		return
 	}
+	if c.refuseQuarantined() {
+		return
+	}
 	if !c.endsBeforeStop() {
 		c.refuseStopping()
 		return
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -104,7 +104,8 @@
 }
 
 // observeInterruption logs a response that an instance broke off, after a check of
-// whether the instance has ended.
+// whether the instance has ended. If it has before it began to answer, the parts of the
+// prompt become suspects.
 func (c *call) observeInterruption(first chain.Stage, err error) {
 	if !closedByInstance(err) {
 		return
@@ -112,10 +113,13 @@
 	ctx, now := context.WithoutCancel(c.context()), time.Now()
 	line := c.logEvent(events.ResponseInterrupted).Str("instance", first.Instance).Err(err).
 		Int("events", c.eventCount).Strs("parts", c.inbound.SharedParts)
-	unanswered := c.eventCount == 0
+	unanswered, sentAt := c.answerEvents < answeredEvents, c.sentAt
 	go func() {
 		ended := c.g.ends.Ended(ctx, first.Address, now)
 		line.Bool("ended", ended).Send()
 		c.g.metrics.recordInterruption(unanswered && ended)
+		if unanswered && ended {
+			c.g.quarantine.RecordCrash(first.Instance, c.parts, sentAt, now)
+		}
 	}()
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -26,10 +26,11 @@
 	configFeed = iota
 	instanceFeed
 	gatewayFeed
+	quarantineFeed
 )
 
 // feedNames are the names of the feeds between gateways, by index.
-var feedNames = []string{"configuration", "instances", "gateways"}
+var feedNames = []string{"configuration", "instances", "gateways", "quarantines"}
 
 const (
 	// storeWatchWait is how long a watch for configurations or instances waits
@@ -37,9 +38,9 @@
 	// dead or the store lost its history, is aborted after storeWatchWait and
 	// feed.WatchTimeoutMargin.
 	storeWatchWait = 2500 * time.Millisecond
-	// gatewayWatchWait is how long a watch for gateways waits for changes, which are
-	// rare.
-	gatewayWatchWait = 20 * time.Second
+	// rareWatchWait is how long a watch for gateways or quarantined parts waits for
+	// changes, which are rare.
+	rareWatchWait = 20 * time.Second
 	// storeWatchPause is the pause after a change of a configuration or of instances,
 	// gatewayWatchPause that after a change of the gateways: all of them register when
 	// a deployment starts.
@@ -65,11 +66,14 @@
 	startFeed(ctx, g, group, server, instanceFeed, g.platform.Instances, &instanceHandler{g},
 		feed.Options{Wait: storeWatchWait, Pause: storeWatchPause},
 		func(r fleet.Record) (string, bool) { return r.ID, r.Instance == nil })
+	startFeed(ctx, g, group, server, quarantineFeed, g.platform.Quarantines, &quarantineHandler{g},
+		feed.Options{Wait: rareWatchWait, Pause: storeWatchPause},
+		func(r QuarantineRecord) (string, bool) { return string(r.Part), r.Removed })
 	if g.settings.PeerPort == 0 {
 		return nil
 	}
 	startFeed(ctx, g, group, server, gatewayFeed, g.platform.Gateways, &peerHandler{g},
-		feed.Options{Wait: gatewayWatchWait, Pause: gatewayWatchPause},
+		feed.Options{Wait: rareWatchWait, Pause: gatewayWatchPause},
 		func(r gossip.PeerRecord) (string, bool) { return r.Name, r.Removed })
 	return g.serveFeeds(ctx, group, server)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/gossip"
 	"github.com/nutmegroute/nutmegroute/internal/metrics"
 	"github.com/nutmegroute/nutmegroute/internal/process"
+	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/retry"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
@@ -34,6 +35,8 @@
 	Instances      feed.Source[fleet.Record]
 	Lease          Lease
 	Gateways       Registry
+	// Quarantines holds the parts of prompts whose requests are refused.
+	Quarantines QuarantineStore
 }
 
 // Registry lists the gateways of a deployment, so that they can find each
@@ -61,6 +64,7 @@
 	budget      *retry.Budget
 	faults      *faultFinder
 	ends        *endDetector
+	quarantine  *quarantine.Register
 	idleConns   *idleConnections
 	streams     *activeStreams
 	// reporter is nil until the gateway has joined its peers, and always nil if
@@ -78,18 +82,19 @@
 	drainDeadline atomic.Int64
 
 	// mu guards configConfirmedAt, firstInstanceAt, membersChangedAt,
-	// instancesSynced and configSynced.
+	// instancesSynced, configSynced and quarantinesSynced.
 	mu sync.Mutex
 	// configConfirmedAt is when the store last confirmed the configuration.
 	configConfirmedAt time.Time
 	// firstInstanceAt is when the first instance was added, membersChangedAt
 	// when an instance was last added or removed.
 	firstInstanceAt, membersChangedAt time.Time
-	// instancesSynced and configSynced are true once the gateway has received
-	// the list of instances and a configuration.
-	instancesSynced bool
-	configSynced    bool
-	// synced is closed when instancesSynced and configSynced are both true.
+	// instancesSynced, configSynced and quarantinesSynced are true once the gateway has
+	// received the list of instances, a configuration and the quarantined parts.
+	instancesSynced   bool
+	configSynced      bool
+	quarantinesSynced bool
+	// synced is closed when all three are true.
 	synced chan struct{}
 }
 
@@ -97,22 +102,23 @@
 func New(s Settings, p Platform, log *events.Logger, scope tally.Scope) *Gateway {
 	directory, tracker := fleet.NewDirectory(), chain.NewInstanceTracker()
 	g := &Gateway{
-		settings:  s,
-		protocol:  p.Protocol,
-		engines:   p.Engines,
-		platform:  p,
-		log:       log,
-		metrics:   newMetrics(scope, metrics.LatencyBuckets),
-		directory: directory,
-		tracker:   tracker,
-		pool:      backend.NewPool(),
-		admission: newAdmission(tracker, directory),
-		faults:    newFaultFinder(p.Engines, tracker, directory, log),
-		ends:      newEndDetector(),
-		idleConns: newIdleConnections(),
-		streams:   newActiveStreams(),
-		synced:    make(chan struct{}),
-		startedAt: time.Now(),
+		settings:   s,
+		protocol:   p.Protocol,
+		engines:    p.Engines,
+		platform:   p,
+		log:        log,
+		metrics:    newMetrics(scope, metrics.LatencyBuckets),
+		directory:  directory,
+		tracker:    tracker,
+		pool:       backend.NewPool(),
+		admission:  newAdmission(tracker, directory),
+		faults:     newFaultFinder(p.Engines, tracker, directory, log),
+		ends:       newEndDetector(),
+		quarantine: quarantine.NewRegister(),
+		idleConns:  newIdleConnections(),
+		streams:    newActiveStreams(),
+		synced:     make(chan struct{}),
+		startedAt:  time.Now(),
 	}
 	limits := retry.Limits{Ratio: s.RetryRatio, Window: s.RetryWindow, Reserve: s.RetryReserve}
 	var retriesSince time.Time
@@ -162,8 +168,8 @@
 	return g.firstInstanceAt, g.membersChangedAt
 }
 
-// markSynced sets flag, which is instancesSynced or configSynced, and closes
-// synced once both are set.
+// markSynced sets flag, which is instancesSynced, configSynced or quarantinesSynced, and
+// closes synced once all are set.
 func (g *Gateway) markSynced(flag *bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -171,7 +177,7 @@
 		return
 	}
 	*flag = true
-	if g.instancesSynced && g.configSynced {
+	if g.allSynced() {
 		close(g.synced)
 	}
 }
@@ -183,9 +189,13 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.instancesSynced && g.configSynced
+	return g.allSynced()
 }
 
+// allSynced reports whether the gateway has received all that it needs to serve clients.
+// The caller holds mu.
+func (g *Gateway) allSynced() bool { return g.instancesSynced && g.configSynced && g.quarantinesSynced }
+
 // Run serves clients until ctx ends, and then drains the requests in progress.
 func (g *Gateway) Run(ctx context.Context, metricsPage http.Handler) error {
 	clientListener, err := net.Listen("tcp", g.settings.ClientAddress)
@@ -210,6 +220,7 @@
 	group.Go(func() error { g.admission.run(background); return nil })
 	group.Go(func() error { g.sweep(background); return nil })
 	group.Go(func() error { g.evacuate(background); return nil })
+	group.Go(func() error { g.keepQuarantines(background); return nil })
 	group.Go(func() error { newPlacer(g, g.platform.Lease).run(background); return nil })
 	server := &http.Server{
 		Handler:           g,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,8 @@
 	cuts          tally.Counter
 	interrupted   tally.Counter
 	unanswered    tally.Counter
+	quarantined   tally.Gauge
+	refusedParts  tally.Counter
 	inFlight      tally.Gauge
 	storeAge      tally.Gauge
 }
@@ -32,6 +34,8 @@
 		cuts:          scope.Counter("streams_cut"),
 		interrupted:   scope.Counter("responses_interrupted"),
 		unanswered:    scope.Counter("requests_unanswered_at_instance_end"),
+		quarantined:   scope.Gauge("quarantined_parts"),
+		refusedParts:  scope.Counter("requests_refused_for_part"),
 		inFlight:      scope.Gauge("requests_in_flight"),
 		storeAge:      scope.Gauge("store_age_seconds"),
 	}
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
 	"github.com/nutmegroute/nutmegroute/internal/gossip"
+	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/retry"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
@@ -21,7 +22,8 @@
 	t.Helper()
 	r, err := gossip.Listen(gossip.Options{Name: name, Address: "127.0.0.1:0"}, gossip.SharedState{
 		Tracker: chain.NewInstanceTracker(), Directory: fleet.NewDirectory(),
-		Budget: retry.NewBudget(retry.Limits{}, func() int { return 1 }, time.Time{}),
+		Budget:     retry.NewBudget(retry.Limits{}, func() int { return 1 }, time.Time{}),
+		Quarantine: quarantine.NewRegister(),
 	})
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/gateway/reroute.go
+++ b/internal/gateway/reroute.go
@@ -17,6 +17,9 @@
 // returns false if no replacement exists, another reroute of the stream is in
 // progress or the call that changes the path fails.
 func (s *stream) reroute(avoided string) bool {
+	if _, refused := s.g.quarantine.Check(s.parts, time.Now()); refused {
+		return false
+	}
 	g, grantSeq, ok := s.beginReroute(avoided)
 	if !ok {
 		return false
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -133,12 +133,11 @@
 // stream. It returns true if another path should be tried.
 func (s *stream) tryPath(path chain.Path) bool {
 	first := path.First()
-	s.sends++
 	options := backend.Options{
 		Deadline: s.deadline, MaxIdle: maxIdleOnce, Matches: s.belongsToCall, StallInterval: stallCheckInterval,
 		OnStall: s.onStall,
 	}
-	x, err := s.g.pool.Do(s.context(), first.Address, s.request(path, s.lastEvent), options)
+	x, err := s.exchange(path, s.lastEvent, options)
 	if err != nil {
 		return s.handleIncomplete(first, err)
 	}
@@ -159,6 +158,9 @@
 	if err == nil {
 		x.Finish()
 		s.g.tracker.RecordPathSuccess(s.currentGrant().Path)
+		if s.answerEvents > 0 {
+			s.recordAnswered(s.answerBegunAt)
+		}
 		return false
 	}
 	x.Abort()
@@ -256,6 +258,7 @@
 	}
 	s.eventCount++
 	s.lastSent = now
+	s.countAnswerEvent(now)
 }
 
 // onStall is called at each stallCheckInterval while a stream is silent; waited is
@@ -334,8 +337,11 @@
 		s.logEvent(events.RequestRetried).Str("instance", first.Instance).Err(err).Int("events", s.eventCount).Send()
 		return true
 	}
-	unsent := errors.Is(err, backend.ErrNotSent)
 	s.observeInterruption(first, err)
+	if s.endQuarantined() {
+		return false
+	}
+	unsent := errors.Is(err, backend.ErrNotSent)
 	switch {
 	case unsent:
 		s.g.tracker.RecordUnreachable(first.Instance, time.Now())
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,7 +1,7 @@
 // Package gossip exchanges reports between the gateways of a deployment. Each
 // gateway reports the load that it causes on instances, the faulty and slow
 // instances that it has found, the layers that instances hold, its use of the
-// retry budget and its own status. Within a failure domain every gateway reports to
+// retry budget, the parts of prompts that crash instances and its own status. Within a failure domain every gateway reports to
 // every other one. Two relays of each failure domain send summaries of it to the
 // relays of the others, which forward them.
 //
@@ -25,6 +25,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
 	"github.com/nutmegroute/nutmegroute/internal/process"
+	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/retry"
 )
 
@@ -48,9 +49,10 @@
 // SharedState holds the objects from which a gateway's reports are made and to
 // which received reports are applied.
 type SharedState struct {
-	Tracker   *chain.InstanceTracker
-	Directory *fleet.Directory
-	Budget    *retry.Budget
+	Tracker    *chain.InstanceTracker
+	Directory  *fleet.Directory
+	Budget     *retry.Budget
+	Quarantine *quarantine.Register
 }
 
 // Options describe the gateway that reports.
@@ -268,11 +270,12 @@
 		targets = x.members.relayTargets(x.reportNumber, now)
 	}
 	x.mu.Unlock()
+	known := x.state.Quarantine.Report(now)
 	if len(peers) > 0 {
-		x.sendAll(x.encodeReport(now), peers)
+		x.sendAll(x.encodeReport(known, now), peers)
 	}
 	if len(targets) > 0 {
-		x.sendAll(x.encodeSummary(now), targets)
+		x.sendAll(x.encodeSummary(known, now), targets)
 	}
 }
 
@@ -285,9 +288,9 @@
 }
 
 // encodeReport returns the datagrams of the report of this gateway.
-func (x *Reporter) encodeReport(now time.Time) [][]byte {
+func (x *Reporter) encodeReport(known quarantine.Report, now time.Time) [][]byte {
 	retries := x.state.Budget.LocalReport(now)
-	c := contents{x.state.Tracker.LocalReport(now), x.observations(now), retries.Usage}
+	c := contents{x.state.Tracker.LocalReport(now), x.observations(now), retries.Usage, known}
 	x.mu.Lock()
 	header := x.header(message{
 		LeaseUnavailable: x.members.status.LeaseUnavailable, Leading: x.members.status.Leading,
@@ -298,14 +301,15 @@
 }
 
 // encodeSummary returns the datagrams of a summary of the own failure domain.
-func (x *Reporter) encodeSummary(now time.Time) [][]byte {
+func (x *Reporter) encodeSummary(known quarantine.Report, now time.Time) [][]byte {
 	x.mu.Lock()
 	header := x.header(x.members.summarize(now))
 	names := slices.DeleteFunc(x.members.aliveMembers(now), func(name string) bool { return name == x.name })
 	x.mu.Unlock()
 	retries := x.state.Budget.GroupReport(names, now)
 	header.Predecessors = uint32(max(retries.Predecessors, 0))
-	return pack(header, contents{x.state.Tracker.GroupReport(names, now), x.observations(now), retries.Usage}, now)
+	c := contents{x.state.Tracker.GroupReport(names, now), x.observations(now), retries.Usage, known}
+	return pack(header, c, now)
 }
 
 // header completes the header of a report.
@@ -339,6 +343,7 @@
 	}
 	x.state.Tracker.AddPeerReport(key, m.ReportNumber, m.report(), now)
 	x.state.Budget.AddPeerReport(key, m.retryReport(), now)
+	x.state.Quarantine.Merge(m.quarantineReport(), now)
 	return forwardTo
 }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/retry"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
@@ -52,7 +53,7 @@
 func newSharedState(tracker *chain.InstanceTracker) SharedState {
 	budget := retry.NewBudget(retry.Limits{Ratio: 0.2, Window: 10 * time.Second, Reserve: 100},
 		func() int { return 2 }, time.Time{})
-	return SharedState{Tracker: tracker, Directory: fleet.NewDirectory(), Budget: budget}
+	return SharedState{Tracker: tracker, Directory: fleet.NewDirectory(), Budget: budget, Quarantine: quarantine.NewRegister()}
 }
 
 // newReceiver returns a Reporter without a connection.
@@ -118,7 +119,7 @@
 	x := newReporter(Options{Name: "g"}, newSharedState(tracker))
 	receiverTracker := chain.NewInstanceTracker()
 	receiver := newReceiver(receiverTracker)
-	for _, datagram := range x.encodeReport(time.Now()) {
+	for _, datagram := range x.encodeReport(quarantine.Report{}, time.Now()) {
 		assert.Assert(t, len(datagram) <= maxDatagramBytes, "datagram of %d bytes", len(datagram))
 		receiver.receive(datagram, netip.AddrPort{}, time.Now())
 	}
@@ -132,7 +133,7 @@
 func FuzzReceive(f *testing.F) {
 	x := newReporter(Options{Name: "g"}, newSharedState(chain.NewInstanceTracker()))
 	x.state.Tracker.RecordLost("a", time.Now())
-	for _, datagram := range x.encodeReport(time.Now()) {
+	for _, datagram := range x.encodeReport(quarantine.Report{}, time.Now()) {
 		f.Add(datagram)
 	}
 	f.Add([]byte{0xa1, 0x01, 0x61, 'x'})
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/retry"
 )
 
@@ -63,6 +64,9 @@
 	LatestChanges []uint64 `cbor:"17,keyasint,omitempty"`
 	// Reader is true in the summary of a relay that reads the platform's store.
 	Reader bool `cbor:"19,keyasint,omitempty"`
+	// Suspects and Decisions are those of quarantine.Report.
+	Suspects  []suspect  `cbor:"20,keyasint,omitempty"`
+	Decisions []decision `cbor:"21,keyasint,omitempty"`
 	// Part numbers the datagrams of one report from 0.
 	Part uint32 `cbor:"18,keyasint,omitempty"`
 }
@@ -113,11 +117,38 @@
 	AgeMS uint32
 }
 
+// suspect is a part of prompts under which instances ended.
+type suspect struct {
+	_           struct{} `cbor:",toarray"`
+	Part        string
+	SoundBefore bool
+	Crashes     []crash
+}
+
+// crash is the end of an instance while a request waited there.
+type crash struct {
+	_        struct{} `cbor:",toarray"`
+	Instance string
+	// SentAgeMS is the time since the request was sent, EndedAgeMS that since the
+	// instance ended.
+	SentAgeMS, EndedAgeMS uint32
+	Cleared               bool
+}
+
+// decision is the decision on a part of prompts.
+type decision struct {
+	_           struct{} `cbor:",toarray"`
+	Part        string
+	Quarantined bool
+	AgeMS       uint32
+}
+
 // contents is what a report holds in addition to its header.
 type contents struct {
 	instances    chain.Report
 	observations []fleet.Observation
 	usage        []retry.Usage
+	quarantine   quarantine.Report
 }
 
 // datagramPacker splits a report into datagrams of at most maxDatagramBytes.
@@ -145,6 +176,7 @@
 			Service: u.Service, Requests: uint32(max(u.Requests, 0)), Repeats: uint32(max(u.Repeats, 0)),
 		})
 	}
+	p.addQuarantine(c.quarantine)
 	for _, f := range c.instances.Faults {
 		m := p.makeRoom(f.Instance)
 		m.Faults = append(m.Faults, fault{Instance: f.Instance, RemainingMS: milliseconds(f.Remaining)})
@@ -172,9 +204,35 @@
 	return p.datagrams
 }
 
+// addQuarantine adds what is known of parts of prompts that crash instances.
+func (p *datagramPacker) addQuarantine(r quarantine.Report) {
+	for _, d := range r.Decisions {
+		m := p.makeRoom(string(d.Part))
+		m.Decisions = append(m.Decisions, decision{
+			Part: string(d.Part), Quarantined: d.Quarantined, AgeMS: milliseconds(d.Age),
+		})
+	}
+	for _, s := range r.Suspects {
+		item, bytes := suspect{Part: string(s.Part), SoundBefore: s.SoundBefore}, len(s.Part)+itemOverheadBytes
+		for _, c := range s.Crashes {
+			item.Crashes = append(item.Crashes, crash{
+				Instance: c.Instance, SentAgeMS: milliseconds(c.SentAge), EndedAgeMS: milliseconds(c.EndedAge), Cleared: c.Cleared,
+			})
+			bytes += len(c.Instance) + itemOverheadBytes
+		}
+		m := p.makeRoomForBytes(bytes)
+		m.Suspects = append(m.Suspects, item)
+	}
+}
+
 // makeRoom returns the message to which an item with the given name is added.
 func (p *datagramPacker) makeRoom(name string) *message {
-	bytes := len(name) + itemOverheadBytes
+	return p.makeRoomForBytes(len(name) + itemOverheadBytes)
+}
+
+// makeRoomForBytes returns the message to which an item of at most the given size is
+// added.
+func (p *datagramPacker) makeRoomForBytes(bytes int) *message {
 	if p.size+bytes > maxDatagramBytes && p.size > p.headerBytes {
 		p.finishDatagram()
 	}
@@ -207,6 +265,29 @@
 	return r
 }
 
+// quarantineReport returns what m holds of parts of prompts that crash instances.
+func (m message) quarantineReport() quarantine.Report {
+	var r quarantine.Report
+	for _, d := range m.Decisions {
+		r.Decisions = append(r.Decisions, quarantine.Decision{
+			Part: quarantine.Part(d.Part), Quarantined: d.Quarantined, Age: age(d.AgeMS),
+		})
+	}
+	for _, s := range m.Suspects {
+		item := quarantine.Suspect{Part: quarantine.Part(s.Part), SoundBefore: s.SoundBefore}
+		for _, c := range s.Crashes {
+			item.Crashes = append(item.Crashes, quarantine.Crash{
+				Instance: c.Instance, SentAge: age(c.SentAgeMS), EndedAge: age(c.EndedAgeMS), Cleared: c.Cleared,
+			})
+		}
+		r.Suspects = append(r.Suspects, item)
+	}
+	return r
+}
+
+// age returns a number of milliseconds as a duration.
+func age(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
 // report returns the loads, faults and slowness in m.
 func (m message) report() chain.Report {
 	r := chain.Report{Group: m.Members > 0}
--- a/internal/gossip/simulation_test.go
+++ b/internal/gossip/simulation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/retry"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
@@ -79,7 +80,7 @@
 	limits := retry.Limits{Ratio: 0.2, Window: 10 * time.Second, Reserve: 390}
 	state := SharedState{
 		Tracker: chain.NewInstanceTracker(), Directory: fleet.NewDirectory(),
-		Budget: retry.NewBudget(limits, count, time.Time{}),
+		Budget: retry.NewBudget(limits, count, time.Time{}), Quarantine: quarantine.NewRegister(),
 	}
 	options := Options{Name: fmt.Sprintf("g%03d", i), Domain: domain, Capacity: 144 + 656*s.random.IntN(2)}
 	g := &simulatedGateway{
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,140 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at returns a time that many milliseconds after start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// load is a sequence of crashes and answers, as a gateway meets it.
+type load func(r *Register)
+
+// crashes makes instances end one after the other, every gap, from ms on.
+func crashes(count, ms, gap int, parts ...Part) load {
+	return func(r *Register) {
+		for i := range count {
+			ended := ms + (i+1)*gap
+			r.RecordCrash(fmt.Sprintf("i-%d-%d", ms, i), parts, at(ended-gap+1), at(ended))
+		}
+	}
+}
+
+// lost makes instances end at the same moment.
+func lost(count, ms int, parts ...Part) load {
+	return func(r *Register) {
+		for i := range count {
+			r.RecordCrash(fmt.Sprintf("i-%d-%d", ms, i), parts, at(ms-100-i), at(ms+i))
+		}
+	}
+}
+
+func answers(ms int, parts ...Part) load {
+	return func(r *Register) { r.RecordAnswered(parts, at(ms)) }
+}
+
+// Guards against requests that crash instances and are not refused, and against sound
+// requests that are refused because instances ended for another reason.
+func TestQuarantine(t *testing.T) {
+	tests := []struct {
+		name string
+		load []load
+		want []Part
+	}{
+		{"no crash", []load{answers(0, "a")}, nil},
+		{"one after the other", []load{crashes(3, 0, 200, "bad")}, []Part{"bad"}},
+		{"too few", []load{crashes(2, 0, 200, "bad")}, nil},
+		{"five at the same moment", []load{lost(5, 1000, "bad")}, []Part{"bad"}},
+		{"many instances lost, rare part", []load{lost(4, 1000, "rare")}, nil},
+		{"many instances lost, usual part", []load{answers(0, "usual"), lost(30, 1000, "usual")}, nil},
+		{"lost twice, usual part", []load{answers(0, "usual"), lost(30, 1000, "usual"), lost(30, 2000, "usual")}, nil},
+		{"first part is answered in between", []load{
+			crashes(3, 0, 200, "first", "bad"), answers(700, "first"), crashes(2, 700, 200, "first", "bad"), answers(1150, "first"),
+		}, []Part{"bad"}},
+		{"roll of releases", []load{
+			answers(0, "usual"), crashes(1, 0, 500, "usual"), answers(600, "usual"), crashes(1, 700, 500, "usual"),
+			answers(1300, "usual"), crashes(1, 1400, 500, "usual"), answers(2000, "usual"), crashes(2, 2000, 500, "usual"),
+		}, nil},
+		{"sound part turns harmful", []load{answers(0, "turned"), crashes(5, 100, 200, "turned")}, []Part{"turned"}},
+		{"answered after the decision", []load{
+			crashes(3, 0, 200, "a"), func(r *Register) { r.Check([]Part{"a"}, at(2000)) }, answers(2100, "a"),
+		}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := NewRegister()
+			for _, l := range tt.load {
+				l(r)
+			}
+			r.Report(at(4000))
+			r.Report(at(4000 + int(settleTime.Milliseconds())))
+			var got []Part
+			for _, q := range r.List() {
+				got = append(got, q.Part)
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
+// Guards against a quarantine that a flood of other parts pushes out, and against memory
+// that grows with the parts that clients choose.
+func TestFloodOfParts(t *testing.T) {
+	r := NewRegister()
+	crashes(4, 0, 100, "bad")(r)
+	r.Report(at(500))
+	r.Report(at(500 + int(settleTime.Milliseconds())))
+	for n := range 3 * maxSuspects {
+		part := Part(fmt.Sprint("flood-", n))
+		r.RecordCrash("i-1", []Part{part}, at(1500), at(1501))
+		r.RecordAnswered([]Part{part + "x"}, at(1500))
+	}
+	_, refused := r.Check([]Part{"good", "bad"}, at(2000))
+	assert.Assert(t, refused)
+	assert.Assert(t, len(r.suspects) <= maxSuspects)
+	assert.Assert(t, len(r.answered.recent)+len(r.answered.older) <= 2*maxRecentAnswered)
+	assert.Assert(t, len(r.Report(at(2000)).Suspects) <= maxReportedSuspects)
+}
+
+// Guards against a release by an operator that the reports of other gateways undo, and
+// against one that keeps a part released that crashes instances again.
+func TestReleaseByAnOperator(t *testing.T) {
+	a, b := NewRegister(), NewRegister()
+	crashes(3, 0, 100, "bad")(a)
+	exchange := func(ms int) {
+		a.Merge(b.Report(at(ms)), at(ms+3))
+		b.Merge(a.Report(at(ms)), at(ms+5))
+	}
+	exchange(1000)
+	exchange(2000)
+	assert.Equal(t, len(b.List()), 1)
+	assert.Assert(t, a.Release("bad", at(9000)))
+	exchange(9100)
+	exchange(9300)
+	assert.Equal(t, len(a.List())+len(b.List()), 0)
+	assert.DeepEqual(t, a.Outdated(), []Part{"bad"})
+	crashes(3, 10_000, 100, "bad")(b)
+	exchange(11_000)
+	exchange(12_000)
+	assert.Equal(t, len(a.List())+len(b.List()), 2)
+}
+
+// Guards against a decision that is forgotten when all gateways restart, and against one
+// that an old list of the store brings back after its release.
+func TestStoredDecisions(t *testing.T) {
+	r := NewRegister()
+	r.AddStored("bad", at(0))
+	_, refused := r.Check([]Part{"bad"}, at(1))
+	assert.Assert(t, refused)
+	assert.Equal(t, len(r.Unstored(0, at(1))), 0)
+	r.Release("bad", at(10))
+	r.AddStored("bad", at(20))
+	_, refused = r.Check([]Part{"bad"}, at(21))
+	assert.Assert(t, !refused)
+}
