quarantine: Decide only while other requests are answered

Change: a part is quarantined only if four requests without it were answered since the first of its crashes that counts. All crashes that count are later than the part's last answer, so that the latest answers of any request suffice as evidence.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -22,6 +22,9 @@
 	// enoughCrashes is the number of instances that are enough in a single round, unless
 	// the part was answered before.
 	enoughCrashes = 5
+	// minOtherAnswers is the number of requests without the part that must have been answered
+	// since the first crash. While nothing is answered, the crashes may have any cause.
+	minOtherAnswers = 4
 	// settleTime is the time for which the evidence must hold. In it, other gateways
 	// report requests with the part that were answered.
 	settleTime = 700 * time.Millisecond
@@ -79,10 +82,15 @@
 	return count
 }
 
-// convincing reports whether the crashes show that the part crashes instances.
-func (s *suspect) convincing(now time.Time) bool {
+// convincing reports whether the crashes of a suspect show that its part crashes
+// instances.
+func (r *Register) convincing(s *suspect, now time.Time) bool {
 	crashes := s.uncleared(now)
 	n, following := len(crashes), rounds(crashes)
+	// A crash that counts is not cleared: all answers since lacked the part.
+	if n == 0 || !r.answered.since(crashes[0].endedAt, minOtherAnswers) {
+		return false
+	}
 	if s.soundBefore {
 		return n >= minCrashesOfSound && following >= minRoundsOfSound
 	}
@@ -99,7 +107,7 @@
 		return
 	}
 	switch {
-	case !s.convincing(now):
+	case !r.convincing(s, now):
 		s.convincingSince = time.Time{}
 	case s.convincingSince.IsZero():
 		s.convincingSince = now
@@ -182,6 +190,9 @@
 func (r *Register) RecordAnswered(parts []Part, begunAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(parts) > 0 {
+		r.answered.recordTime(begunAt)
+	}
 	for _, part := range parts {
 		r.answered.record(part, begunAt)
 		r.clear(part, begunAt)
@@ -235,6 +246,10 @@
 type answeredParts struct {
 	// recent holds the parts that were answered since older was replaced.
 	recent, older map[Part]time.Time
+	// times holds when the latest answers to any request began, in a ring; next is the
+	// index of the oldest.
+	times [minOtherAnswers]time.Time
+	next  int
 }
 
 // maxRecentAnswered is the number of parts after which the older half is forgotten.
@@ -252,6 +267,23 @@
 	a.recent[part] = at
 }
 
+// recordTime records when an answer to any request began.
+func (a *answeredParts) recordTime(at time.Time) {
+	a.times[a.next] = at
+	a.next = (a.next + 1) % len(a.times)
+}
+
+// since reports whether count of the latest answers, at most minOtherAnswers, began after
+// a time.
+func (a *answeredParts) since(t time.Time, count int) bool {
+	for _, at := range a.times {
+		if at.After(t) {
+			count--
+		}
+	}
+	return count <= 0
+}
+
 // latest returns when the latest answer to a request with a part began.
 func (a *answeredParts) latest(part Part) (time.Time, bool) {
 	if at, known := a.recent[part]; known {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -39,6 +39,25 @@
 	return func(r *Register) { r.RecordAnswered(parts, at(ms)) }
 }
 
+// others answers requests without the parts of the test.
+func others(ms int) load {
+	return func(r *Register) {
+		for range minOtherAnswers {
+			r.RecordAnswered([]Part{"other"}, at(ms))
+		}
+	}
+}
+
+// decideOn gives the register the time to decide on a part, which it must quarantine.
+func decideOn(part Part, ms int) load {
+	return func(r *Register) {
+		r.Check([]Part{part}, at(ms))
+		if _, refused := r.Check([]Part{part}, at(ms).Add(settleTime)); !refused {
+			panic("not quarantined")
+		}
+	}
+}
+
 // Guards against requests that crash instances and are not refused, and against sound
 // requests that are refused because instances ended for another reason.
 func TestQuarantine(t *testing.T) {
@@ -48,22 +67,23 @@
 		want []Part
 	}{
 		{"no crash", []load{answers(0, "a")}, nil},
-		{"one after the other", []load{crashes(3, 0, 200, "bad")}, []Part{"bad"}},
-		{"too few", []load{crashes(2, 0, 200, "bad")}, nil},
-		{"five at the same moment", []load{lost(5, 1000, "bad")}, []Part{"bad"}},
-		{"many instances lost, rare part", []load{lost(4, 1000, "rare")}, nil},
-		{"many instances lost, usual part", []load{answers(0, "usual"), lost(30, 1000, "usual")}, nil},
-		{"lost twice, usual part", []load{answers(0, "usual"), lost(30, 1000, "usual"), lost(30, 2000, "usual")}, nil},
+		{"one after the other", []load{crashes(3, 0, 200, "bad"), others(3000)}, []Part{"bad"}},
+		{"nothing is answered", []load{answers(0, "first"), crashes(8, 100, 200, "first", "bad")}, nil},
+		{"too few", []load{crashes(2, 0, 200, "bad"), others(3000)}, nil},
+		{"five at the same moment", []load{lost(5, 1000, "bad"), others(3000)}, []Part{"bad"}},
+		{"many instances lost, rare part", []load{lost(4, 1000, "rare"), others(3000)}, nil},
+		{"many instances lost, usual part", []load{answers(0, "usual"), lost(30, 1000, "usual"), others(3000)}, nil},
+		{"lost twice, usual part", []load{answers(0, "usual"), lost(30, 1000, "usual"), lost(30, 2000, "usual"), others(3000)}, nil},
 		{"first part is answered in between", []load{
-			crashes(3, 0, 200, "first", "bad"), answers(700, "first"), crashes(2, 700, 200, "first", "bad"), answers(1150, "first"),
+			crashes(3, 0, 200, "first", "bad"), answers(700, "first"), crashes(2, 700, 200, "first", "bad"), answers(1150, "first"), others(3000),
 		}, []Part{"bad"}},
 		{"roll of releases", []load{
 			answers(0, "usual"), crashes(1, 0, 500, "usual"), answers(600, "usual"), crashes(1, 700, 500, "usual"),
-			answers(1300, "usual"), crashes(1, 1400, 500, "usual"), answers(2000, "usual"), crashes(2, 2000, 500, "usual"),
+			answers(1300, "usual"), crashes(1, 1400, 500, "usual"), answers(2000, "usual"), crashes(2, 2000, 500, "usual"), others(3000),
 		}, nil},
-		{"sound part turns harmful", []load{answers(0, "turned"), crashes(5, 100, 200, "turned")}, []Part{"turned"}},
+		{"sound part turns harmful", []load{answers(0, "turned"), crashes(5, 100, 200, "turned"), others(3000)}, []Part{"turned"}},
 		{"answered after the decision", []load{
-			crashes(3, 0, 200, "a"), func(r *Register) { r.Check([]Part{"a"}, at(2000)) }, answers(2100, "a"),
+			crashes(3, 0, 200, "a"), others(1900), decideOn("a", 2000), answers(2900, "a"),
 		}, nil},
 	}
 	for _, tt := range tests {
@@ -88,6 +108,7 @@
 func TestFloodOfParts(t *testing.T) {
 	r := NewRegister()
 	crashes(4, 0, 100, "bad")(r)
+	others(450)(r)
 	r.Report(at(500))
 	r.Report(at(500 + int(settleTime.Milliseconds())))
 	for n := range 3 * maxSuspects {
@@ -107,6 +128,7 @@
 func TestReleaseByAnOperator(t *testing.T) {
 	a, b := NewRegister(), NewRegister()
 	crashes(3, 0, 100, "bad")(a)
+	others(900)(b)
 	exchange := func(ms int) {
 		a.Merge(b.Report(at(ms)), at(ms+3))
 		b.Merge(a.Report(at(ms)), at(ms+5))
@@ -120,6 +142,7 @@
 	assert.Equal(t, len(a.List())+len(b.List()), 0)
 	assert.DeepEqual(t, a.Outdated(), []Part{"bad"})
 	crashes(3, 10_000, 100, "bad")(b)
+	others(10_500)(a)
 	exchange(11_000)
 	exchange(12_000)
 	assert.Equal(t, len(a.List())+len(b.List()), 2)
