gateway, ctl: Let operators see and release quarantined parts

Cause: a decision that is wrong, or whose cause is mended, must be visible and must end without a restart of all gateways. An old removal in the store's history does not release a part that was quarantined again.

--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -49,6 +49,11 @@
 	Gateway string `arg:"--gateway,env:NUTMEGCTL_GATEWAY" placeholder:"URL" help:"metrics address of a gateway; print its status instead of that of an entry"`
 }
 
+type releaseArgs struct {
+	Part    string `arg:"positional,required" help:"part of prompts, as status --gateway prints it"`
+	Gateway string `arg:"--gateway,required,env:NUTMEGCTL_GATEWAY" placeholder:"URL" help:"metrics address of any gateway"`
+}
+
 type explainArgs struct {
 	RequestID string `arg:"positional,required" help:"request id from Nutmegroute-Request-Id"`
 }
@@ -64,6 +69,7 @@
 	Service   *objectArgs  `arg:"subcommand:service" help:"plain services"`
 	Placement *objectArgs  `arg:"subcommand:placement" help:"placements"`
 	Status    *statusArgs  `arg:"subcommand:status" help:"print the status of an entry and its upstreams, or of a gateway, its chains and its layer placement"`
+	Release   *releaseArgs `arg:"subcommand:release" help:"serve requests again that the gateways refuse because of a part of their prompts"`
 	Teams     *struct{}    `arg:"subcommand:teams" help:"print the load of each team"`
 	Drain     *drainArgs   `arg:"subcommand:drain" help:"make an upstream finish its work in progress and leave"`
 	Explain   *explainArgs `arg:"subcommand:explain" help:"explain how a request was routed"`
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -102,7 +102,7 @@
 		return ExitUsage
 	case errors.Is(err, adminapi.ErrConflict):
 		return ExitConflict
-	case errors.Is(err, adminapi.ErrNotFound):
+	case errors.Is(err, adminapi.ErrNotFound), errors.Is(err, gatewayapi.ErrNotQuarantined):
 		return ExitNotFound
 	case errors.Is(err, adminapi.ErrUnknownOutcome):
 		return ExitUnknownOutcome
@@ -118,6 +118,8 @@
 		return printResult(c.printer, c.printer.writeGateway)(gatewayapi.FetchStatus(ctx, strings.TrimSuffix(c.Status.Gateway, "/")))
 	case c.Status != nil:
 		return printResult(c.printer, c.printer.writeStatus)(c.client.Status(ctx))
+	case c.Release != nil:
+		return gatewayapi.Release(ctx, strings.TrimSuffix(c.Release.Gateway, "/"), c.Release.Part)
 	case c.Teams != nil:
 		return printResult(c.printer, c.printer.writeTeams)(c.client.Teams(ctx))
 	case c.Drain != nil:
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -98,7 +98,18 @@
 		used := fmt.Sprintf("%.0f%%", percent*in.KVCacheUsed)
 		instances[i] = []any{in.ID, in.Service, in.FailureDomain, in.Accelerator, layers, instanceState(in), in.Requests, used}
 	}
-	return p.writeTable("INSTANCE SERVICE DOMAIN ACCELERATOR LAYERS STATE REQUESTS KV-CACHE", instances)
+	if err := p.writeTable("INSTANCE SERVICE DOMAIN ACCELERATOR LAYERS STATE REQUESTS KV-CACHE", instances); err != nil {
+		return err
+	}
+	if len(s.Quarantined) == 0 {
+		return nil
+	}
+	fmt.Fprintln(p.w)
+	parts := make([][]any, len(s.Quarantined))
+	for i, q := range s.Quarantined {
+		parts[i] = []any{q.Part, fmt.Sprintf("%.0f", q.AgeSeconds), q.Instances}
+	}
+	return p.writeTable("QUARANTINED-PART AGE-S CRASHED-INSTANCES", parts)
 }
 
 const percent = 100
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -17,6 +17,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
 	"github.com/nutmegroute/nutmegroute/internal/gossip"
 	"github.com/nutmegroute/nutmegroute/internal/process"
+	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/relay"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
@@ -66,7 +67,7 @@
 	startFeed(ctx, g, group, server, instanceFeed, g.platform.Instances, &instanceHandler{g},
 		feed.Options{Wait: storeWatchWait, Pause: storeWatchPause},
 		func(r fleet.Record) (string, bool) { return r.ID, r.Instance == nil })
-	startFeed(ctx, g, group, server, quarantineFeed, g.platform.Quarantines, &quarantineHandler{g},
+	startFeed(ctx, g, group, server, quarantineFeed, g.platform.Quarantines, &quarantineHandler{g: g, revisions: make(map[quarantine.Part]uint64)},
 		feed.Options{Wait: rareWatchWait, Pause: storeWatchPause},
 		func(r QuarantineRecord) (string, bool) { return string(r.Part), r.Removed })
 	if g.settings.PeerPort == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -269,6 +269,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", page)
 	mux.HandleFunc("GET "+gatewayapi.StatusPath, g.serveStatus)
+	mux.HandleFunc("POST "+gatewayapi.ReleasePath, g.releasePart)
 	group.Go(func() error { return process.Serve(process.NewServer(mux), l, nil) })
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -93,12 +93,19 @@
 // QuarantineRecord is the record of a quarantined part in the platform's store.
 type QuarantineRecord struct {
 	Part quarantine.Part
+	// Revision is the revision of the record's last change.
+	Revision uint64
 	// Removed is true if the record was removed from the store.
 	Removed bool
 }
 
 // quarantineHandler passes the records of quarantined parts to the register.
-type quarantineHandler struct{ g *Gateway }
+type quarantineHandler struct {
+	g *Gateway
+	// revisions holds the highest known revision of each record, so that an older removal
+	// does not release a part that was quarantined again.
+	revisions map[quarantine.Part]uint64
+}
 
 // Replace implements feed.Handler. A part that is missing in a list may not be stored
 // yet: only its removal releases it.
@@ -111,6 +118,10 @@
 func (h *quarantineHandler) Update(b feed.Batch[QuarantineRecord]) {
 	h.g.reportChange(quarantineFeed, b.LatestChange)
 	for _, r := range b.Records {
+		if r.Revision < h.revisions[r.Part] {
+			continue
+		}
+		h.revisions[r.Part] = r.Revision
 		if r.Removed {
 			h.g.quarantine.RemoveStored(r.Part, time.Now())
 			continue
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -11,6 +11,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
 	"github.com/nutmegroute/nutmegroute/internal/gatewayapi"
 	"github.com/nutmegroute/nutmegroute/internal/placement"
+	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
 
@@ -21,6 +22,16 @@
 	_ = json.NewEncoder(w).Encode(g.status(time.Now()))
 }
 
+// releasePart answers an operator's request to release a quarantined part of prompts.
+func (g *Gateway) releasePart(w http.ResponseWriter, r *http.Request) {
+	part := quarantine.Part(r.URL.Query().Get(gatewayapi.PartParameter))
+	if !g.quarantine.Release(part, time.Now()) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // status returns the gateway's view of the deployment.
 func (g *Gateway) status(now time.Time) gatewayapi.Status {
 	s := gatewayapi.Status{
@@ -38,6 +49,11 @@
 	for _, in := range view.Instances {
 		s.Instances = append(s.Instances, g.instanceStatus(table, in, now))
 	}
+	for _, q := range g.quarantine.List() {
+		s.Quarantined = append(s.Quarantined, gatewayapi.QuarantinedPart{
+			Part: string(q.Part), AgeSeconds: now.Sub(q.Since).Seconds(), Instances: q.Instances,
+		})
+	}
 	slices.SortFunc(s.Coverage, func(a, b gatewayapi.LayerCoverage) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.FailureDomain, b.FailureDomain))
 	})
--- a/internal/gatewayapi/gatewayapi.go
+++ b/internal/gatewayapi/gatewayapi.go
@@ -7,13 +7,24 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// StatusPath is the path at which a gateway serves its Status.
-const StatusPath = "/status"
+const (
+	// StatusPath is the path at which a gateway serves its Status.
+	StatusPath = "/status"
+	// ReleasePath is the path of POST requests that release a quarantined part of prompts;
+	// PartParameter names the query parameter that holds the part. The answer is 204, or 404
+	// if the part is not quarantined.
+	ReleasePath   = "/quarantine/release"
+	PartParameter = "part"
+)
+
+// ErrNotQuarantined means that the gateway does not refuse requests with the part.
+var ErrNotQuarantined = errors.New("gatewayapi: part is not quarantined")
 
 // ErrUnavailable means that the gateway can't be reached or does not answer
 // with a status.
@@ -39,6 +50,19 @@
 	InFlight  int64           `json:"inFlight"`
 	Coverage  []LayerCoverage `json:"chains"`
 	Instances []Instance      `json:"instances"`
+	// Quarantined holds the parts of prompts whose requests are refused.
+	Quarantined []QuarantinedPart `json:"quarantined,omitempty"`
+}
+
+// QuarantinedPart is a part of prompts whose requests are refused because they crash
+// instances.
+type QuarantinedPart struct {
+	Part string `json:"part"`
+	// AgeSeconds is the time since the decision, in seconds.
+	AgeSeconds float64 `json:"ageSeconds"`
+	// Instances is the number of instances that the gateway knows to have crashed when it
+	// decided, 0 if it took the decision over.
+	Instances int `json:"crashedInstances"`
 }
 
 // LayerCoverage tells whether the usable instances of one service in one failure
@@ -75,6 +99,30 @@
 // requestTimeout bounds one status request.
 const requestTimeout = 5 * time.Second
 
+// Release makes the gateway whose metrics are served at base, a URL, release a part of
+// prompts in the whole deployment. Its errors wrap ErrNotQuarantined or ErrUnavailable.
+func Release(ctx context.Context, base, part string) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	target := base + ReleasePath + "?" + url.Values{PartParameter: {part}}.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return eris.Wrap(errors.Join(ErrUnavailable, err), "gatewayapi: request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Join(ErrUnavailable, err)
+	}
+	_ = resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotQuarantined
+	}
+	return eris.Wrapf(ErrUnavailable, "status %d", resp.StatusCode)
+}
+
 // FetchStatus requests the status of the gateway whose metrics are served at
 // base, a URL. Every error that it returns wraps ErrUnavailable.
 func FetchStatus(ctx context.Context, base string) (Status, error) {
