gateway: Reset the connection of an HTTP/1.0 client when a response breaks off

Callers saw: a stream that broke off looked complete to a client of HTTP/1.0, for which the end of the connection is the end of the response. Cause: a response that is cut was ended by closing the connection, which tells only clients that receive chunks. Change: such a connection is reset (linger 0). Result: TestBrokenStreamOfAnHTTP10Client failed before (io.EOF after five of ten events) and passes.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -160,9 +161,28 @@
 func (c *call) cut(reason string) {
 	c.logEvent(events.StreamAborted).Str("reason", reason).Int("events", c.eventCount).Send()
 	c.g.metrics.recordCut()
+	c.resetUnframed()
 	panic(http.ErrAbortHandler)
 }
 
+// resetUnframed resets the client's connection if its end would end the response: for a
+// client of HTTP/1.0, a connection that is closed in the usual way shows that a response
+// without a length is complete.
+func (c *call) resetUnframed() {
+	if c.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		c.g.log.LogRateLimited(events.ListenerError).Str("request", c.inbound.ID).Err(err).Send()
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // sendHeaders sends the headers of the first instance that answers to the client.
 func (c *call) sendHeaders(resp *http.Response) {
 	if c.sentStatus != 0 {
