gateway: A stream without events that ends with its connection is not complete

An engine that ends after the head of a response with neither a length nor chunks would have given the client a complete, empty stream, and its end would not have counted as evidence. Change: such a stream is interrupted: it is continued elsewhere or cut. Result: the case of TestStreamsThatEndWithTheirConnection that ends before the first event.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -145,7 +145,7 @@
 			x.Response = resp
 			return nil
 		}
-		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if resp.Close || endsWithConnection(resp) {
 			return ErrUnmatchedResponse
 		}
 		if err := discard(resp.Body); err != nil {
@@ -191,13 +191,19 @@
 		// The context was cancelled, which closes the connection.
 		return
 	}
-	resp := x.Response
-	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if resp.Close || !delimited || x.conn.reader.Buffered() > 0 {
+	if x.Response.Close || x.EndsWithConnection() || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
 	}
-	x.pool.put(x.conn, keepAliveTimeout(resp.Header))
+	x.pool.put(x.conn, keepAliveTimeout(x.Response.Header))
+}
+
+// EndsWithConnection reports whether the response has neither a length nor chunks, so that
+// the end of the connection is its end.
+func (x *Exchange) EndsWithConnection() bool { return endsWithConnection(x.Response) }
+
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
 // Abort ends an exchange and closes its connection, so that the instance cancels
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -200,12 +200,16 @@
 	return false
 }
 
-// relay forwards whole events until the stream is complete.
+// relay forwards whole events until the stream is complete. A stream without any event
+// that ends with its connection is not complete: the instance may have ended.
 func (s *stream) relay(x *backend.Exchange) error {
 	r := bufio.NewReaderSize(x.Response.Body, eventBufferBytes)
 	for {
 		event, id, err := readEvent(r)
 		if err == io.EOF && len(event) == 0 {
+			if s.answerEvents == 0 && x.EndsWithConnection() {
+				return errors.Join(backend.ErrExchangeFailed, io.ErrUnexpectedEOF)
+			}
 			return nil
 		}
 		if err != nil {
