gateway: An ended instance counts as lost at once, at all gateways

A closed connection was a local failure of 0.5 s; only three refused connections made an instance lost for the other gateways and the placer. Change: the check that finds an instance ended records it as lost, which peers hear in 0.2 s. Result: TestEndedInstanceIsLostAtOnce failed before (not lost after 1 s) and passes.

--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -104,8 +104,8 @@
 }
 
 // observeInterruption logs a response that an instance broke off, after a check of
-// whether the instance has ended. If it has before it began to answer, the parts of the
-// prompt become suspects.
+// whether the instance has ended. An instance that has counts as lost at all gateways; if
+// it had not begun to answer, the parts of the prompt become suspects.
 func (c *call) observeInterruption(first chain.Stage, err error) {
 	if !closedByInstance(err) {
 		return
@@ -118,7 +118,11 @@
 		ended := c.g.ends.Ended(ctx, first.Address, now)
 		line.Bool("ended", ended).Send()
 		c.g.metrics.recordInterruption(unanswered && ended)
-		if unanswered && ended {
+		if !ended {
+			return
+		}
+		c.g.tracker.RecordLost(first.Instance, now)
+		if unanswered {
 			c.g.quarantine.RecordCrash(first.Instance, c.parts, sentAt, now)
 		}
 	}()
