--- a/internal/chain/tracker.go
+++ b/internal/chain/tracker.go
@@ -66,15 +66,20 @@
 // InstanceTracker tracks the load and the health of instances and reserves
 // capacity for requests. It is safe for concurrent use.
 type InstanceTracker struct {
-	// mu guards instances and peers.
+	// mu guards the fields below.
 	mu        sync.Mutex
 	instances map[string]*instanceState
 	peers     map[string]*peerReport
+	// limits holds the instances that have named a limit.
+	limits map[string]*instanceLimit
 }
 
 // NewInstanceTracker returns a tracker that knows no instances.
 func NewInstanceTracker() *InstanceTracker {
-	return &InstanceTracker{instances: make(map[string]*instanceState), peers: make(map[string]*peerReport)}
+	return &InstanceTracker{
+		instances: make(map[string]*instanceState), peers: make(map[string]*peerReport),
+		limits: make(map[string]*instanceLimit),
+	}
 }
 
 // Demand describes what a request needs.
@@ -373,9 +378,10 @@
 
 // Prune deletes the state of instances that are not in the view and have no
 // requests of this process.
-func (t *InstanceTracker) Prune(view *fleet.View) {
+func (t *InstanceTracker) Prune(view *fleet.View, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.pruneLimits(view, now)
 	for id, state := range t.instances {
 		if _, known := view.Instances[id]; !known && state.requests == 0 {
 			delete(t.instances, id)
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -58,6 +58,9 @@
 	PartReleased = define(1823, "part-released", zerolog.WarnLevel,
 		"Requests with a part that was quarantined are served again. The field source tells whether one of them was answered, an "+
 			"operator released the part, or the decision came from another gateway or the store.", noAction)
+	InstanceLimit = define(1824, "instance-limit", zerolog.InfoLevel,
+		"An instance named another limit of the requests a second that it takes from all gateways together, or named none any "+
+			"more (unlimited).", "If it lasts, check the instance: it is in need.")
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -281,10 +281,11 @@
 		g.idleConns.closeIdle(g.idleLimit(), now)
 		g.directory.Expire(now)
 		view := g.directory.View()
-		g.tracker.Prune(view)
+		g.tracker.Prune(view, now)
 		g.faults.RemeasureSlow(ctx, view, now)
 		g.faults.RecheckLost(ctx, view, now)
 		g.ends.prune(now)
+		g.metrics.limited.Update(float64(g.tracker.Limited(now)))
 		g.metrics.inFlight.Update(float64(g.inFlight.Load()))
 	})
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 	unanswered    tally.Counter
 	quarantined   tally.Gauge
 	refusedParts  tally.Counter
+	limited       tally.Gauge
 	inFlight      tally.Gauge
 	storeAge      tally.Gauge
 }
@@ -36,6 +37,7 @@
 		unanswered:    scope.Counter("requests_unanswered_at_instance_end"),
 		quarantined:   scope.Gauge("quarantined_parts"),
 		refusedParts:  scope.Counter("requests_refused_for_part"),
+		limited:       scope.Gauge("limited_instances"),
 		inFlight:      scope.Gauge("requests_in_flight"),
 		storeAge:      scope.Gauge("store_age_seconds"),
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -34,9 +34,21 @@
 	c.sentAt, c.answerEvents = time.Now(), 0
 	x, err := c.g.pool.Do(c.context(), p.First().Address, c.request(p, lastEvent), o)
 	c.respondedAt = time.Now()
+	if err == nil {
+		c.recordLimit(p.First().Instance, c.g.protocol.Reply(x.Response).Limit)
+	}
 	return x, err
 }
 
+// recordLimit records the limit that an instance names in an answer.
+func (c *call) recordLimit(instance string, l chain.Limit) {
+	before, changed := c.g.tracker.RecordLimit(instance, l, time.Now())
+	if changed {
+		c.g.log.LogRateLimited(events.InstanceLimit).Str("instance", instance).Bool("unlimited", l.Unlimited).
+			Float64("per_second", l.PerSecond).Float64("before", before.PerSecond).Str("request", c.inbound.ID).Send()
+	}
+}
+
 // countAnswerEvent counts an event of the latest exchange.
 func (c *call) countAnswerEvent(now time.Time) {
 	if c.answerEvents == 0 {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -92,6 +92,8 @@
 	NotExecuted bool
 	// FaultAddress is the address of the instance that failed.
 	FaultAddress string
+	// Limit is the limit that the instance names.
+	Limit chain.Limit
 }
 
 // Protocol translates the headers of requests and responses.
