chain, gossip: Hold to the limits that instances name, all gateways together

Change: the instance tracker keeps the latest statement of each instance, its own and those that peers report with their age. Choosing a path takes a request from the limit of the first instance; an instance without allowance can still be a later stage. What does not fit goes to other instances, waits within the usual bound or is refused. Ruled out: an equal part for every gateway (nothing is left for each of a hundred), counting by reports as for repeats (a part below one request in the unreported time would refuse everything).

--- a/internal/chain/path.go
+++ b/internal/chain/path.go
@@ -56,6 +56,9 @@
 	layerTime time.Duration
 	// freeKVCache is the free KV cache: tokens times layers.
 	freeKVCache float64
+	// mayReceive is false if the limit of the instance allows no request of this gateway.
+	// It can still be a later stage, which gets no requests from gateways.
+	mayReceive bool
 }
 
 // candidates returns the instances of a model's service in one failure domain that
@@ -82,7 +85,7 @@
 		}
 		state.addUnreported(neighbours, now)
 		list = append(list, candidate{in, t.layerTime(s.Model, accelerator, state),
-			t.freeKVCache(s.Model, accelerator, in, state, maxReserved, now)})
+			t.freeKVCache(s.Model, accelerator, in, state, maxReserved, now), t.maySend(in.ID, now)})
 	}
 	// A fixed order makes the choice deterministic.
 	slices.SortFunc(list, func(a, b candidate) int {
@@ -94,6 +97,15 @@
 	return list
 }
 
+// ignoreLimits returns the candidates as if no instance had named a limit.
+func ignoreLimits(list []candidate) []candidate {
+	list = slices.Clone(list)
+	for i := range list {
+		list[i].mayReceive = true
+	}
+	return list
+}
+
 // freeKVCache returns the KV cache, in tokens times layers, that may still be
 // reserved on an instance if maxReserved is the share of it that may be reserved.
 func (t *InstanceTracker) freeKVCache(
@@ -155,7 +167,7 @@
 		}
 		for i, c := range list {
 			// A path may use an instance only once.
-			if !c.Layers.Contains(end) || usesCandidate(fastest, list, end, i) {
+			if !c.Layers.Contains(end) || end == 0 && !c.mayReceive || usesCandidate(fastest, list, end, i) {
 				continue
 			}
 			for _, to := range bounds {
--- a/internal/chain/peers.go
+++ b/internal/chain/peers.go
@@ -36,6 +36,7 @@
 	Loads  []Load
 	Faults []Fault
 	Slow   []Slowness
+	Limits []NamedLimit
 }
 
 // peerReportMaxAge is how long the report of another gateway counts.
@@ -51,13 +52,14 @@
 	loads map[string]Load
 	// faults holds when each reported fault ends.
 	faults map[string]time.Time
+	limits []NamedLimit
 }
 
 // LocalReport returns the report of this process for the other gateways.
 func (t *InstanceTracker) LocalReport(now time.Time) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var r Report
+	r := Report{Limits: t.ownLimits(now)}
 	for id, state := range t.instances {
 		if state.requests > 0 {
 			r.Loads = append(r.Loads, Load{id, state.tokenLayers, state.requests})
@@ -86,11 +88,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	limits := [][]NamedLimit{r.Limits}
 	for _, name := range names {
 		p := t.peers[name]
 		if p == nil || now.Sub(p.receivedAt) > peerReportMaxAge {
 			continue
 		}
+		limits = append(limits, p.agedLimits(now))
 		for id, l := range p.loads {
 			sum := loads[id]
 			loads[id] = Load{id, sum.TokenLayers + l.TokenLayers, sum.Requests + l.Requests}
@@ -101,6 +105,7 @@
 			}
 		}
 	}
+	r.Limits = newestLimits(limits...)
 	r.Loads = slices.Collect(maps.Values(loads))
 	r.Faults = r.Faults[:0]
 	for id, remaining := range faults {
@@ -109,6 +114,15 @@
 	return r
 }
 
+// agedLimits returns the limits of a report with their age now.
+func (p *peerReport) agedLimits(now time.Time) []NamedLimit {
+	list := slices.Clone(p.limits)
+	for i := range list {
+		list[i].Age += now.Sub(p.receivedAt)
+	}
+	return list
+}
+
 // ForgetPeer removes the loads that were reported under a name.
 func (t *InstanceTracker) ForgetPeer(name string) {
 	t.mu.Lock()
@@ -133,7 +147,11 @@
 	if number < p.number {
 		return
 	}
+	p.limits = append(p.agedLimits(now), r.Limits...)
 	p.receivedAt, p.group = now, r.Group
+	for _, n := range r.Limits {
+		t.addPeerLimit(n, now)
+	}
 	for _, load := range r.Loads {
 		p.loads[load.Instance] = load
 	}
--- a/internal/chain/tracker.go
+++ b/internal/chain/tracker.go
@@ -136,6 +136,15 @@
 func (t *InstanceTracker) Choose(view *fleet.View, s *routing.Service, d Demand, now time.Time) (Grant, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	g, err := t.choose(view, s, d, now)
+	if err == nil {
+		t.takeSend(g.Path.First().Instance)
+	}
+	return g, err
+}
+
+// choose is Choose without the request being taken from the limit of the first instance.
+func (t *InstanceTracker) choose(view *fleet.View, s *routing.Service, d Demand, now time.Time) (Grant, error) {
 	if s.Model == nil {
 		return t.choosePlainService(view, s, d, now)
 	}
@@ -144,11 +153,13 @@
 
 // Fits reports whether Choose would succeed for a demand.
 func (t *InstanceTracker) Fits(view *fleet.View, s *routing.Service, d Demand, now time.Time) bool {
-	g, err := t.Choose(view, s, d, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g, err := t.choose(view, s, d, now)
 	if err != nil {
 		return false
 	}
-	t.Release(g)
+	t.release(g)
 	return true
 }
 
@@ -175,8 +186,8 @@
 		all := fleet.LayerRange{To: s.Model.Layers}
 		path, cost, ok := searchPath(list, all, float64(d.Tokens))
 		if !ok {
-			_, _, existsIgnoringKVCache := searchPath(list, all, 0)
-			pathExists = pathExists || existsIgnoringKVCache
+			_, _, existsWithRoom := searchPath(ignoreLimits(list), all, 0)
+			pathExists = pathExists || existsWithRoom
 			continue
 		}
 		pathExists = true
@@ -314,7 +325,7 @@
 		if in.Domain != d.Domain {
 			load += crossDomainPenalty
 		}
-		if t.isAvoided(in.ID, now) {
+		if t.isAvoided(in.ID, now) && t.maySend(in.ID, now) {
 			// An avoided instance serves only if no other instance does, so
 			// that avoidance never leaves a service without an instance.
 			if fallback == nil || in.ID < fallback.ID {
@@ -322,7 +333,7 @@
 			}
 			continue
 		}
-		if state.requests >= in.Slots && in.Slots > 0 {
+		if state.requests >= in.Slots && in.Slots > 0 || !t.maySend(in.ID, now) {
 			full = true
 			continue
 		}
@@ -345,13 +356,13 @@
 // HasFasterPath reports whether the path that Choose would reserve for a demand
 // takes less than half the time per token of the path of a grant.
 func (t *InstanceTracker) HasFasterPath(view *fleet.View, s *routing.Service, d Demand, g Grant, now time.Time) bool {
-	alternative, err := t.Choose(view, s, d, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	alternative, err := t.choose(view, s, d, now)
 	if err != nil {
 		return false
 	}
-	t.Release(alternative)
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.release(alternative)
 	return 2*t.stepTime(view, s, alternative.Path, now) < t.stepTime(view, s, g.Path, now)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -221,6 +221,7 @@
 	group.Go(func() error { g.sweep(background); return nil })
 	group.Go(func() error { g.evacuate(background); return nil })
 	group.Go(func() error { g.keepQuarantines(background); return nil })
+	group.Go(func() error { g.shareLimits(background); return nil })
 	group.Go(func() error { newPlacer(g, g.platform.Lease).run(background); return nil })
 	server := &http.Server{
 		Handler:           g,
@@ -285,7 +286,6 @@
 		g.faults.RemeasureSlow(ctx, view, now)
 		g.faults.RecheckLost(ctx, view, now)
 		g.ends.prune(now)
-		g.metrics.limited.Update(float64(g.tracker.Limited(now)))
 		g.metrics.inFlight.Update(float64(g.inFlight.Load()))
 	})
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -40,15 +40,6 @@
 	return x, err
 }
 
-// recordLimit records the limit that an instance names in an answer.
-func (c *call) recordLimit(instance string, l chain.Limit) {
-	before, changed := c.g.tracker.RecordLimit(instance, l, time.Now())
-	if changed {
-		c.g.log.LogRateLimited(events.InstanceLimit).Str("instance", instance).Bool("unlimited", l.Unlimited).
-			Float64("per_second", l.PerSecond).Float64("before", before.PerSecond).Str("request", c.inbound.ID).Send()
-	}
-}
-
 // countAnswerEvent counts an event of the latest exchange.
 func (c *call) countAnswerEvent(now time.Time) {
 	if c.answerEvents == 0 {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -64,6 +64,8 @@
 	LatestChanges []uint64 `cbor:"17,keyasint,omitempty"`
 	// Reader is true in the summary of a relay that reads the platform's store.
 	Reader bool `cbor:"19,keyasint,omitempty"`
+	// Limits holds the latest statements of instances that have named a limit.
+	Limits []namedLimit `cbor:"22,keyasint,omitempty"`
 	// Suspects and Decisions are those of quarantine.Report.
 	Suspects  []suspect  `cbor:"20,keyasint,omitempty"`
 	Decisions []decision `cbor:"21,keyasint,omitempty"`
@@ -117,6 +119,16 @@
 	AgeMS uint32
 }
 
+// namedLimit is the limit that an instance named.
+type namedLimit struct {
+	_         struct{} `cbor:",toarray"`
+	Instance  string
+	Unlimited bool
+	PerSecond float64
+	// AgeMS is the time since the instance named it.
+	AgeMS uint32
+}
+
 // suspect is a part of prompts under which instances ended.
 type suspect struct {
 	_           struct{} `cbor:",toarray"`
@@ -187,6 +199,12 @@
 			Instance: s.Instance, Percent: uint32(s.Factor * percent), AgeMS: milliseconds(s.Age),
 		})
 	}
+	for _, l := range c.instances.Limits {
+		m := p.makeRoom(l.Instance)
+		m.Limits = append(m.Limits, namedLimit{
+			Instance: l.Instance, Unlimited: l.Unlimited, PerSecond: l.PerSecond, AgeMS: milliseconds(l.Age),
+		})
+	}
 	for _, o := range c.observations {
 		m := p.makeRoom(o.ID)
 		m.Observations = append(m.Observations, observation{
@@ -298,12 +316,17 @@
 	}
 	for _, f := range m.Faults {
 		r.Faults = append(r.Faults, chain.Fault{
-			Instance: f.Instance, Remaining: time.Duration(f.RemainingMS) * time.Millisecond,
+			Instance: f.Instance, Remaining: age(f.RemainingMS),
 		})
 	}
 	for _, s := range m.Slowness {
 		r.Slow = append(r.Slow, chain.Slowness{
-			Instance: s.Instance, Factor: float64(s.Percent) / percent, Age: time.Duration(s.AgeMS) * time.Millisecond,
+			Instance: s.Instance, Factor: float64(s.Percent) / percent, Age: age(s.AgeMS),
+		})
+	}
+	for _, l := range m.Limits {
+		r.Limits = append(r.Limits, chain.NamedLimit{
+			Instance: l.Instance, Limit: chain.Limit{Stated: true, Unlimited: l.Unlimited, PerSecond: l.PerSecond}, Age: age(l.AgeMS),
 		})
 	}
 	return r
