--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -40,8 +40,13 @@
 // recordLimit records the limit that an instance names in an answer.
 func (c *call) recordLimit(instance string, l chain.Limit) {
 	before, changed := c.g.tracker.RecordLimit(instance, l, time.Now())
-	if changed {
-		c.g.log.LogRateLimited(events.InstanceLimit).Str("instance", instance).Bool("unlimited", l.Unlimited).
-			Float64("per_second", l.PerSecond).Float64("before", before.PerSecond).Str("request", c.inbound.ID).Send()
+	if !changed {
+		return
 	}
+	line := c.g.log.Log
+	if before.Unlimited == l.Unlimited {
+		line = c.g.log.LogRateLimited // an instance may name another limit in each answer
+	}
+	line(events.InstanceLimit).Str("instance", instance).Bool("unlimited", l.Unlimited).
+		Float64("per_second", l.PerSecond).Float64("before", before.PerSecond).Str("request", c.inbound.ID).Send()
 }
