gateway: A lost instance that refuses to report is used again

Instances that refused connections three times count as lost and are asked for a report every second; an instance of a plain service has none and refuses, so that it stayed lost after a restart under the same id until it was the last one left. Change: a refusal is an answer. Result: TestLostInstanceWithoutReportIsUsedAgain failed before (still lost) and passes.

--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -149,7 +150,9 @@
 		}
 		go func() {
 			answer := f.fetchReport(ctx, in.Address, now, 0)
-			f.tracker.RecordRecheck(id, answer.err == nil, time.Now())
+			// Instances of plain services refuse, since they have no report.
+			answered := answer.err == nil || errors.Is(answer.err, ErrOrderRefused)
+			f.tracker.RecordRecheck(id, answered, time.Now())
 		}()
 	}
 }
--- /dev/null
+++ b/internal/gateway/faults_test.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/events"
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
+)
+
+// refusingEngines answers each request for a report with a refusal, as an instance of a
+// plain service does.
+type refusingEngines struct{ Engines }
+
+func (refusingEngines) Report(context.Context, string) (Report, error) { return Report{}, ErrOrderRefused }
+
+// Guards against an instance of a plain service that stays lost after its restart, because
+// it has no report.
+func TestLostInstanceWithoutReportIsUsedAgain(t *testing.T) {
+	tracker, directory, now := chain.NewInstanceTracker(), fleet.NewDirectory(), time.Now()
+	directory.Replace([]fleet.Record{{ID: "i", Instance: &fleet.Instance{ID: "i", Service: "s"}}}, false, now)
+	f := newFaultFinder(refusingEngines{}, tracker, directory, events.Nop())
+	tracker.RecordLost("i", now)
+	f.RecheckLost(t.Context(), directory.View(), now.Add(2*time.Second))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if tracker.IsLost("i", now.Add(2*time.Second)) {
+			return poll.Continue("still lost")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Second))
+	assert.Assert(t, !tracker.IsLost("i", now.Add(7*time.Second)))
+}
