quarantine: A part must explain the ends of instances, while others are answered

Requests with any part of a twelfth of the traffic waited on some lost instances each time, and the answers that the rule asks for came before an outage. Change: a part must explain 0.6 of the ended instances, on average over the losses since its first crash, where instances that end within 0.15 s are one loss; and eight requests without it must have been answered while the evidence was enough.

--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -17,7 +17,9 @@
 // plain service does.
 type refusingEngines struct{ Engines }
 
-func (refusingEngines) Report(context.Context, string) (Report, error) { return Report{}, ErrOrderRefused }
+func (refusingEngines) Report(context.Context, string) (Report, error) {
+	return Report{}, ErrOrderRefused
+}
 
 // Guards against an instance of a plain service that stays lost after its restart, because
 // it has no report.
--- a/internal/gossip/quarantine_test.go
+++ b/internal/gossip/quarantine_test.go
@@ -19,6 +19,14 @@
 	g.state.Quarantine.RecordCrash(instance, parts, s.now.Add(-100*time.Millisecond), s.now)
 }
 
+// serveOthers lets a gateway serve requests without the parts of a test.
+func (s *simulation) serveOthers(duration time.Duration) {
+	for end := s.now.Add(duration); s.now.Before(end); {
+		s.gateways[len(s.gateways)-1].state.Quarantine.RecordAnswered([]quarantine.Part{"other"}, s.now)
+		s.run(100 * time.Millisecond)
+	}
+}
+
 // quarantined returns the number of gateways that refuse requests with the part.
 func (s *simulation) quarantined(part quarantine.Part) int {
 	count := 0
@@ -47,10 +55,7 @@
 				}
 				s.crash(g, fmt.Sprint("i-", i), "harmful")
 			}
-			for range 4 {
-				s.gateways[len(s.gateways)-1].state.Quarantine.RecordAnswered([]quarantine.Part{"other"}, s.now)
-			}
-			s.run(contactTime)
+			s.serveOthers(contactTime)
 			assert.Equal(t, s.quarantined("harmful"), len(s.gateways))
 
 			// A gateway that has just started learns of it from the others.
@@ -70,7 +75,7 @@
 		s.crash(s.gateways[i], fmt.Sprint("i-", i), "shared", "harmful")
 		s.gateways[11].state.Quarantine.RecordAnswered([]quarantine.Part{"shared"}, s.now)
 	}
-	s.run(contactTime)
+	s.serveOthers(contactTime)
 	assert.Equal(t, s.quarantined("shared"), 0)
 	assert.Equal(t, s.quarantined("harmful"), len(s.gateways))
 }
@@ -245,3 +250,29 @@
 		})
 	}
 }
+
+// Guards against sound parts that are quarantined because instances end by themselves, many
+// at once or one after the other, also while nothing is answered for a while.
+func TestLostInstancesBlameNobody(t *testing.T) {
+	const seeds, duration = 20, 15 * time.Second
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSimulation(seed, 1+int(seed%3), 2+int(seed%4))
+			s.run(2 * time.Second)
+			h := &harmfulTraffic{simulation: s, t: t, outOfContactUntil: make(map[*simulatedGateway]time.Time)}
+			h.nextHarmful = s.now.Add(time.Hour)
+			gap := time.Duration(50+s.random.IntN(1500)) * time.Millisecond
+			nextTrouble := s.now
+			for end := s.now.Add(duration); s.now.Before(end); {
+				h.step()
+				if !s.now.Before(nextTrouble) {
+					h.disturb()
+					nextTrouble = s.now.Add(time.Duration(s.random.Int64N(int64(2 * gap))))
+				}
+				s.run(simulationTick)
+			}
+			assert.Equal(t, s.quarantined(firstPart), 0)
+		})
+	}
+}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -22,9 +23,14 @@
 	// enoughCrashes is the number of instances that are enough in a single round, unless
 	// the part was answered before.
 	enoughCrashes = 5
+	// minExplained is the share of the instances that ended since the first crash which the
+	// part must explain, on average over the losses. Instances that end within sameLossTime
+	// are one loss.
+	minExplained = 0.6
+	sameLossTime = 150 * time.Millisecond
 	// minOtherAnswers is the number of requests without the part that must have been answered
-	// since the first crash. While nothing is answered, the crashes may have any cause.
-	minOtherAnswers = 4
+	// while the evidence was enough. While nothing is answered, the crashes may have any cause.
+	minOtherAnswers = 8
 	// settleTime is the time for which the evidence must hold. In it, other gateways
 	// report requests with the part that were answered.
 	settleTime = 700 * time.Millisecond
@@ -32,6 +38,8 @@
 	crashMaxAge = 2 * time.Minute
 	// maxCrashes is the number of crashes of a part that are remembered.
 	maxCrashes = 8
+	// maxEnds is the number of ended instances that are remembered.
+	maxEnds = 512
 	// maxInstanceBytes bounds the names of instances that are remembered.
 	maxInstanceBytes = 32
 )
@@ -82,19 +90,71 @@
 	return count
 }
 
+// enough reports whether the crashes are so many that the part may crash instances.
+func (s *suspect) enough(crashes []crash) bool {
+	n, following := len(crashes), rounds(crashes)
+	if s.soundBefore {
+		return n >= minCrashesOfSound && following >= minRoundsOfSound
+	}
+	return n >= minCrashes && following >= minRounds || n >= enoughCrashes
+}
+
 // convincing reports whether the crashes of a suspect show that its part crashes
 // instances.
 func (r *Register) convincing(s *suspect, now time.Time) bool {
 	crashes := s.uncleared(now)
-	n, following := len(crashes), rounds(crashes)
-	// A crash that counts is not cleared: all answers since lacked the part.
-	if n == 0 || !r.answered.since(crashes[0].endedAt, minOtherAnswers) {
-		return false
+	return s.enough(crashes) && r.explained(crashes) >= minExplained
+}
+
+// explained returns the share of the ended instances that a part explains, on average over
+// the losses since the first of its crashes.
+func (r *Register) explained(crashes []crash) float64 {
+	own := make(map[string]bool, len(crashes))
+	for _, c := range crashes {
+		own[c.instance] = true
 	}
-	if s.soundBefore {
-		return n >= minCrashesOfSound && following >= minRoundsOfSound
+	ends := r.endsSince(crashes[0].endedAt.Add(-sameLossTime))
+	losses, sum := 0, 0.0
+	for first := 0; first < len(ends); {
+		next, explained := first, 0
+		for ; next < len(ends) && (next == first || ends[next].at.Sub(ends[next-1].at) <= sameLossTime); next++ {
+			if own[ends[next].instance] {
+				explained++
+			}
+		}
+		sum += float64(explained) / float64(next-first)
+		losses++
+		first = next
 	}
-	return n >= minCrashes && following >= minRounds || n >= enoughCrashes
+	return sum / float64(max(losses, 1))
+}
+
+// end is the end of an instance under any request that waited for its answer.
+type end struct {
+	instance string
+	at       time.Time
+}
+
+// endsSince returns the ends of instances from a time on, in their order.
+func (r *Register) endsSince(from time.Time) []end {
+	var list []end
+	for instance, at := range r.ends {
+		if !at.Before(from) {
+			list = append(list, end{instance, at})
+		}
+	}
+	slices.SortFunc(list, func(a, b end) int {
+		return cmp.Or(a.at.Compare(b.at), strings.Compare(a.instance, b.instance))
+	})
+	return list
+}
+
+// recordEnd records the end of an instance. Of two records the earlier time is kept.
+func (r *Register) recordEnd(instance string, at time.Time) {
+	if known, ended := r.ends[instance]; ended && !at.Before(known) || !ended && len(r.ends) >= maxEnds {
+		return
+	}
+	r.ends[instance] = at
 }
 
 // evaluate quarantines a part if the evidence has been enough for settleTime.
@@ -111,7 +171,9 @@
 		s.convincingSince = time.Time{}
 	case s.convincingSince.IsZero():
 		s.convincingSince = now
-	case now.Sub(s.convincingSince) >= settleTime:
+	case now.Sub(s.convincingSince) >= settleTime && r.answered.since(s.convincingSince, minOtherAnswers):
+		// The crashes are not cleared, so that none of these answers was to a request with
+		// the part.
 		r.decide(part, decision{quarantined: true, at: now, instances: len(s.uncleared(now))}, FromEvidence)
 	}
 }
@@ -132,6 +194,8 @@
 // addCrash adds a crash unless it is known. Of two records of a crash the earlier times
 // are kept: each gateway that passes a record on delays it.
 func (r *Register) addCrash(part Part, c crash, soundBefore bool) {
+	c.instance = c.instance[:min(len(c.instance), maxInstanceBytes)]
+	r.recordEnd(c.instance, c.endedAt)
 	s := r.suspects[part]
 	if s == nil {
 		if c.cleared {
@@ -142,7 +206,6 @@
 		r.suspects[part] = s
 	}
 	s.soundBefore = s.soundBefore || soundBefore
-	c.instance = c.instance[:min(len(c.instance), maxInstanceBytes)]
 	at := slices.IndexFunc(s.crashes, func(k crash) bool { return k.instance == c.instance })
 	if at >= 0 {
 		known := &s.crashes[at]
@@ -228,6 +291,7 @@
 // prune removes the suspects whose crashes no longer count. Crashes that support a
 // quarantine are kept, so that a late answer can end it.
 func (r *Register) prune(now time.Time) {
+	maps.DeleteFunc(r.ends, func(_ string, at time.Time) bool { return now.Sub(at) > crashMaxAge })
 	for part, s := range r.suspects {
 		if d := r.decisions[part]; d != nil && d.quarantined {
 			continue
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -30,7 +30,9 @@
 	suspects  map[Part]*suspect
 	decisions map[Part]*decision
 	answered  answeredParts
-	changes   []Change
+	// ends holds when instances ended under requests that waited for their answers.
+	ends    map[string]time.Time
+	changes []Change
 }
 
 // decision says whether requests with a part are refused.
@@ -54,6 +56,7 @@
 func NewRegister() *Register {
 	return &Register{
 		suspects: make(map[Part]*suspect), decisions: make(map[Part]*decision), answered: newAnsweredParts(),
+		ends: make(map[string]time.Time),
 	}
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -77,6 +77,14 @@
 		{"first part is answered in between", []load{
 			crashes(3, 0, 200, "first", "bad"), answers(700, "first"), crashes(2, 700, 200, "first", "bad"), answers(1150, "first"), others(3000),
 		}, []Part{"bad"}},
+		{"harmful beside a mass loss", []load{
+			lost(4, 90, "elsewhere"), crashes(5, 100, 200, "bad"), others(3000),
+		}, []Part{"bad"}},
+		{"on one of many lost instances, again and again", []load{
+			lost(7, 500, "usual"), crashes(1, 300, 203, "rare"), lost(7, 1000, "usual"), crashes(1, 800, 203, "rare"),
+			lost(7, 1500, "usual"), crashes(1, 1300, 203, "rare"), lost(7, 2000, "usual"), crashes(1, 1800, 203, "rare"),
+			answers(2500, "usual"), others(3000),
+		}, nil},
 		{"roll of releases", []load{
 			answers(0, "usual"), crashes(1, 0, 500, "usual"), answers(600, "usual"), crashes(1, 700, 500, "usual"),
 			answers(1300, "usual"), crashes(1, 1400, 500, "usual"), answers(2000, "usual"), crashes(2, 2000, 500, "usual"), others(3000),
@@ -128,13 +136,14 @@
 func TestReleaseByAnOperator(t *testing.T) {
 	a, b := NewRegister(), NewRegister()
 	crashes(3, 0, 100, "bad")(a)
-	others(900)(b)
 	exchange := func(ms int) {
 		a.Merge(b.Report(at(ms)), at(ms+3))
 		b.Merge(a.Report(at(ms)), at(ms+5))
 	}
 	exchange(1000)
+	others(1500)(b)
 	exchange(2000)
+	exchange(2200)
 	assert.Equal(t, len(b.List()), 1)
 	assert.Assert(t, a.Release("bad", at(9000)))
 	exchange(9100)
@@ -142,9 +151,10 @@
 	assert.Equal(t, len(a.List())+len(b.List()), 0)
 	assert.DeepEqual(t, a.Outdated(), []Part{"bad"})
 	crashes(3, 10_000, 100, "bad")(b)
-	others(10_500)(a)
 	exchange(11_000)
+	others(11_500)(a)
 	exchange(12_000)
+	exchange(12_200)
 	assert.Equal(t, len(a.List())+len(b.List()), 2)
 }
 
