quarantine: An instance that starts again under its name can end again

The platform may start an instance again under the id that it had. Change: two records are of the same end if they name the same instance within a second.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -38,6 +37,9 @@
 	crashMaxAge = 2 * time.Minute
 	// maxCrashes is the number of crashes of a part that are remembered.
 	maxCrashes = 8
+	// sameEndTime is the difference up to which two records of the end of an instance are
+	// of the same end: an instance may start again under the same name.
+	sameEndTime = time.Second
 	// maxEnds is the number of ended instances that are remembered.
 	maxEnds = 512
 	// maxInstanceBytes bounds the names of instances that are remembered.
@@ -109,16 +111,15 @@
 // explained returns the share of the ended instances that a part explains, on average over
 // the losses since the first of its crashes.
 func (r *Register) explained(crashes []crash) float64 {
-	own := make(map[string]bool, len(crashes))
-	for _, c := range crashes {
-		own[c.instance] = true
+	own := func(e end) bool {
+		return slices.ContainsFunc(crashes, func(c crash) bool { return e.is(c.instance, c.endedAt) })
 	}
 	ends := r.endsSince(crashes[0].endedAt.Add(-sameLossTime))
 	losses, sum := 0, 0.0
 	for first := 0; first < len(ends); {
 		next, explained := first, 0
 		for ; next < len(ends) && (next == first || ends[next].at.Sub(ends[next-1].at) <= sameLossTime); next++ {
-			if own[ends[next].instance] {
+			if own(ends[next]) {
 				explained++
 			}
 		}
@@ -135,12 +136,17 @@
 	at       time.Time
 }
 
+// is reports whether a record of the end of an instance is of this end.
+func (e end) is(instance string, at time.Time) bool {
+	return e.instance == instance && e.at.Sub(at).Abs() <= sameEndTime
+}
+
 // endsSince returns the ends of instances from a time on, in their order.
 func (r *Register) endsSince(from time.Time) []end {
 	var list []end
-	for instance, at := range r.ends {
-		if !at.Before(from) {
-			list = append(list, end{instance, at})
+	for _, e := range r.ends {
+		if !e.at.Before(from) {
+			list = append(list, e)
 		}
 	}
 	slices.SortFunc(list, func(a, b end) int {
@@ -151,10 +157,13 @@
 
 // recordEnd records the end of an instance. Of two records the earlier time is kept.
 func (r *Register) recordEnd(instance string, at time.Time) {
-	if known, ended := r.ends[instance]; ended && !at.Before(known) || !ended && len(r.ends) >= maxEnds {
-		return
+	known := slices.IndexFunc(r.ends, func(e end) bool { return e.is(instance, at) })
+	switch {
+	case known >= 0 && at.Before(r.ends[known].at):
+		r.ends[known].at = at
+	case known < 0 && len(r.ends) < maxEnds:
+		r.ends = append(r.ends, end{instance, at})
 	}
-	r.ends[instance] = at
 }
 
 // evaluate quarantines a part if the evidence has been enough for settleTime.
@@ -206,7 +215,7 @@
 		r.suspects[part] = s
 	}
 	s.soundBefore = s.soundBefore || soundBefore
-	at := slices.IndexFunc(s.crashes, func(k crash) bool { return k.instance == c.instance })
+	at := slices.IndexFunc(s.crashes, func(k crash) bool { return end{k.instance, k.endedAt}.is(c.instance, c.endedAt) })
 	if at >= 0 {
 		known := &s.crashes[at]
 		if c.cleared && !known.cleared {
@@ -291,7 +300,7 @@
 // prune removes the suspects whose crashes no longer count. Crashes that support a
 // quarantine are kept, so that a late answer can end it.
 func (r *Register) prune(now time.Time) {
-	maps.DeleteFunc(r.ends, func(_ string, at time.Time) bool { return now.Sub(at) > crashMaxAge })
+	r.ends = slices.DeleteFunc(r.ends, func(e end) bool { return now.Sub(e.at) > crashMaxAge })
 	for part, s := range r.suspects {
 		if d := r.decisions[part]; d != nil && d.quarantined {
 			continue
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -30,8 +30,8 @@
 	suspects  map[Part]*suspect
 	decisions map[Part]*decision
 	answered  answeredParts
-	// ends holds when instances ended under requests that waited for their answers.
-	ends    map[string]time.Time
+	// ends holds the ends of instances under requests that waited for their answers.
+	ends    []end
 	changes []Change
 }
 
@@ -56,7 +56,6 @@
 func NewRegister() *Register {
 	return &Register{
 		suspects: make(map[Part]*suspect), decisions: make(map[Part]*decision), answered: newAnsweredParts(),
-		ends: make(map[string]time.Time),
 	}
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -35,6 +35,11 @@
 	}
 }
 
+// sameInstance makes the same instance end under the same part.
+func sameInstance(ms int) load {
+	return func(r *Register) { r.RecordCrash("i", []Part{"bad"}, at(ms-100), at(ms)) }
+}
+
 func answers(ms int, parts ...Part) load {
 	return func(r *Register) { r.RecordAnswered(parts, at(ms)) }
 }
@@ -85,6 +90,9 @@
 			lost(7, 1500, "usual"), crashes(1, 1300, 203, "rare"), lost(7, 2000, "usual"), crashes(1, 1800, 203, "rare"),
 			answers(2500, "usual"), others(3000),
 		}, nil},
+		{"the same instance, started again under its name", []load{
+			sameInstance(0), sameInstance(3000), sameInstance(6000), others(6500),
+		}, []Part{"bad"}},
 		{"roll of releases", []load{
 			answers(0, "usual"), crashes(1, 0, 500, "usual"), answers(600, "usual"), crashes(1, 700, 500, "usual"),
 			answers(1300, "usual"), crashes(1, 1400, 500, "usual"), answers(2000, "usual"), crashes(2, 2000, 500, "usual"), others(3000),
@@ -100,8 +108,8 @@
 			for _, l := range tt.load {
 				l(r)
 			}
-			r.Report(at(4000))
-			r.Report(at(4000 + int(settleTime.Milliseconds())))
+			r.Report(at(7000))
+			r.Report(at(7000 + int(settleTime.Milliseconds())))
 			var got []Part
 			for _, q := range r.List() {
 				got = append(got, q.Part)
