gossip: A gateway no longer hangs when a relay changes while a request is repeated

Callers saw: nothing at all from one gateway, for good: it took requests and never answered them, while its readiness was good. Cause: two locks in both orders. The reporter forgot the report of a replaced relay in the retry budget while it held its lock; the budget asks the reporter for the number of gateways while it holds its own. Change: the reporter uses the shared state after it has released its lock.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -331,30 +331,45 @@
 	if err := cbor.Unmarshal(data, &m); err != nil || m.From == "" || m.From == x.name {
 		return nil
 	}
-	key, forwardTo, use := x.record(m, from, now)
-	if !use {
+	r := x.record(m, from, now)
+	if !r.use {
 		return nil
 	}
+	if r.replaces {
+		x.state.Tracker.ForgetPeer(r.key)
+		x.state.Budget.ForgetPeer(r.key)
+	}
 	for _, o := range m.Observations {
 		x.state.Directory.Observe(fleet.Observation{
 			ID: o.Instance, Layers: fleet.LayerRange{From: int(o.From), To: int(o.To)},
 			At: now.Add(-time.Duration(o.AgeMS) * time.Millisecond),
 		})
 	}
-	x.state.Tracker.AddPeerReport(key, m.ReportNumber, m.report(), now)
-	x.state.Budget.AddPeerReport(key, m.retryReport(), now)
+	x.state.Tracker.AddPeerReport(r.key, m.ReportNumber, m.report(), now)
+	x.state.Budget.AddPeerReport(r.key, m.retryReport(), now)
 	x.state.Quarantine.Merge(m.quarantineReport(), now)
-	return forwardTo
+	return r.forwardTo
 }
 
 // summaryKey is the prefix of the name under which the report of a failure domain
 // is applied.
 const summaryKey = "failure domain "
 
-// record updates the membership with a datagram. It returns the name under which the
-// contents are applied, the peers to which the datagram is forwarded, and whether the
-// contents are used.
-func (x *Reporter) record(m message, from netip.AddrPort, now time.Time) (key string, forwardTo []Peer, use bool) {
+// recorded says how the contents of a datagram are used.
+type recorded struct {
+	// use is false if they are ignored.
+	use bool
+	// key is the name under which they are applied, replaces is true if what was applied
+	// under that name before is forgotten.
+	key      string
+	replaces bool
+	// forwardTo holds the peers to which the datagram is forwarded.
+	forwardTo []Peer
+}
+
+// record updates the membership with a datagram. It does not use the shared state, which
+// may ask the Reporter while it holds its own lock.
+func (x *Reporter) record(m message, from netip.AddrPort, now time.Time) recorded {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for feed, revision := range m.LatestChanges {
@@ -362,19 +377,15 @@
 	}
 	if m.Members == 0 {
 		x.members.recordMember(m, now)
-		return m.From, nil, true
+		return recorded{use: true, key: m.From}
 	}
 	if m.Domain == x.members.self.Domain {
-		return "", nil, false
-	}
-	key = summaryKey + m.Domain
-	use, replaces := x.members.recordSummary(m, now)
-	if replaces {
-		x.state.Tracker.ForgetPeer(key)
-		x.state.Budget.ForgetPeer(key)
+		return recorded{}
 	}
-	if use {
-		forwardTo = x.members.forwardTargets(m, from, now)
+	r := recorded{key: summaryKey + m.Domain}
+	r.use, r.replaces = x.members.recordSummary(m, now)
+	if r.use {
+		r.forwardTo = x.members.forwardTargets(m, from, now)
 	}
-	return key, forwardTo, use
+	return r
 }
