gateway: Log closed idle connections and requests that a stop interrupts

Cause: a request whose connection is closed as idle, or that is in progress when a graceful shutdown ends, left no line; the move of a stream for silence alone left none that says how long the silence was. Change: NR1840 for each idle connection that is closed, NR1841 for each request in progress at the end of a shutdown, NR1803 also when a stream moves for silence alone, with its duration. No decision changes. Result: go test ./internal/gateway ./internal/events passes.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -15,7 +15,7 @@
 		"Check other log lines of the instance; replace the instance if it fails often.")
 	StreamStalled = define(1803, "stream-stalled", zerolog.WarnLevel,
 		"A stream stalled because an instance of its path failed or is slow; it is moved to another path if possible.",
-		"Check the instance named in the field fault or the field slow.")
+		"Check the instance named in the field fault, slow or silent.")
 	StreamAborted = define(1804, "stream-cut", zerolog.ErrorLevel,
 		"A stream ended before it was complete; the client's connection was closed.",
 		"Check the reason and the request-repeated lines of the same request.")
@@ -61,6 +61,12 @@
 	InstanceLimit = define(1824, "instance-limit", zerolog.InfoLevel,
 		"An instance named another limit of the requests a second that it takes from all gateways together, or named none any "+
 			"more (unlimited).", "If it lasts, check the instance: it is in need.")
+	ConnectionClosedIdle = define(1840, "idle-connection-closed", zerolog.InfoLevel,
+		"A client's connection was closed because it had been idle for longer than the configuration allows (idle_ms, limit_ms).",
+		noAction)
+	RequestUnfinished = define(1841, "request-unfinished", zerolog.ErrorLevel,
+		"A request was still in progress when the time of a graceful shutdown was over; its connection ends with the process.",
+		"Allow more time for the shutdown, or check the instances in the request's path.")
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -80,8 +80,8 @@
 	for _, part := range c.inbound.SharedParts {
 		c.parts = append(c.parts, quarantine.Part(part))
 	}
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
+	g.inProgress.add(c)
+	defer g.inProgress.remove(c)
 	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/events"
 )
 
 const (
@@ -41,18 +43,29 @@
 	delete(i.idleSince, c)
 }
 
-// closeIdle closes the connections that have been idle for longer than limit.
-func (i *idleConnections) closeIdle(limit time.Duration, now time.Time) {
+// closeIdle closes the connections that have been idle for longer than limit, and calls
+// onClose for each.
+func (i *idleConnections) closeIdle(limit time.Duration, now time.Time, onClose func(c net.Conn, idle time.Duration)) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c, since := range i.idleSince {
-		if now.Sub(since) > limit {
+		if idle := now.Sub(since); idle > limit {
 			_ = c.Close()
 			delete(i.idleSince, c)
+			onClose(c, idle)
 		}
 	}
 }
 
+// closeIdleConnections closes the client connections that have been idle for too long.
+func (g *Gateway) closeIdleConnections(now time.Time) {
+	limit := g.idleLimit()
+	g.idleConns.closeIdle(limit, now, func(c net.Conn, idle time.Duration) {
+		g.log.LogRateLimited(events.ConnectionClosedIdle).Stringer("client", c.RemoteAddr()).
+			Dur("idle_ms", idle).Dur("limit_ms", limit).Send()
+	})
+}
+
 // idleLimit returns how long a client's connection may be idle.
 func (g *Gateway) idleLimit() time.Duration {
 	limit := defaultIdleLimit
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -46,12 +46,13 @@
 	end := time.Now().Add(limit)
 	g.drainDeadline.Store(end.UnixNano())
 	sleepUntil(time.Now().Add(min(drainDelay, limit-closingTime)))
-	for g.inFlight.Load() > 0 && time.Now().Before(end.Add(-closingTime)) {
+	for g.inProgress.count() > 0 && time.Now().Before(end.Add(-closingTime)) {
 		sleepUntil(time.Now().Add(drainPollInterval))
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
+		g.inProgress.logUnfinished(g.log)
 		return process.ErrDrainTimeout
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,8 @@
 	// startedAt is when the process started.
 	startedAt time.Time
 
-	inFlight atomic.Int64
+	// inProgress holds the requests that are being handled.
+	inProgress requestSet
 	// isPlacer is true while this gateway places layers.
 	isPlacer atomic.Bool
 	// drainDeadline is when a graceful shutdown ends, in Unix nanoseconds; 0 if
@@ -279,13 +280,13 @@
 func (g *Gateway) sweep(ctx context.Context) {
 	process.RunEvery(ctx, sweepInterval, func(now time.Time) {
 		g.pool.CloseExpired(now)
-		g.idleConns.closeIdle(g.idleLimit(), now)
+		g.closeIdleConnections(now)
 		g.directory.Expire(now)
 		view := g.directory.View()
 		g.tracker.Prune(view, now)
 		g.faults.RemeasureSlow(ctx, view, now)
 		g.faults.RecheckLost(ctx, view, now)
 		g.ends.prune(now)
-		g.metrics.inFlight.Update(float64(g.inFlight.Load()))
+		g.metrics.inFlight.Update(float64(g.inProgress.count()))
 	})
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -37,7 +37,7 @@
 	s := gatewayapi.Status{
 		Instance: g.settings.Instance, FailureDomain: g.settings.FailureDomain,
 		Ready: g.ready(), Outdated: g.configStale(), Leads: g.isPlacer.Load(),
-		Gateways: g.gatewayCount(), InFlight: g.inFlight.Load(),
+		Gateways: g.gatewayCount(), InFlight: int64(g.inProgress.count()),
 	}
 	view, table := g.directory.View(), g.activeTable.Get()
 	if table != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -272,6 +272,7 @@
 	path := s.currentGrant().Path
 	first := path.First().Instance
 	if waited >= stallLimit && s.recordRunAndCheckAttempts(first) && s.avoidIfReplaceable(first) && s.takeResend() {
+		s.logEvent(events.StreamStalled).Str("silent", first).Dur("silent_ms", waited).Int("events", s.eventCount).Send()
 		return errMoved
 	}
 	fault, err := s.g.faults.Locate(s.context(), path, s.inbound.ID, time.Now())
