--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -31,7 +31,7 @@
 }
 
 func (testProtocol) Reply(resp *http.Response) Reply {
-	return Reply{ID: resp.Header.Get("Id"), Sealed: true}
+	return Reply{ID: resp.Header.Get("Id"), Sealed: true, NotExecuted: resp.Header.Get("Refused") != ""}
 }
 
 func (testProtocol) SetOwnHeaders(http.Header, string) {}
