gateway: Keep a silent exchange until another instance has begun to answer

What callers saw: streams cut in the middle or closed without a byte, and 502 in place of an answer, although their instance was sound and went on after about a second. Cause: silence was taken for loss. A stream whose first instance did not answer a request for its report left it after 0.25 to 0.5 s, any other silent stream after 1.3 s, an idempotent request after twice its latency objective: the exchange was closed first, and another instance was looked for afterwards. Where none took the request, nothing was left to wait for. Change: a silent exchange gets a successor, a second exchange with an instance that is granted at once and that the retry budget and the attempts of the route allow. Whichever goes on first is used: the successor takes over with the next event of the stream or a whole response; progress of the first one ends the successor. A successor that is refused, breaks off or fails leaves the first one as it is. If the first one breaks while the successor waits, the successor becomes the exchange of the request. Ruled out: waiting longer before a move, which makes every real loss last longer and only shifts the limit. NR1842 to NR1844 tell what became of a successor.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -51,10 +51,15 @@
 	// by Exchange.Progress, and made by the arrival of ProgressBytes unless that is 0:
 	// single bytes are no progress.
 	StallInterval time.Duration
-	OnStall       func(waited time.Duration) error
+	OnStall       StallFunc
 	ProgressBytes int
 }
 
+// StallFunc is called while an exchange makes no progress; waited is the time since the last
+// progress. again is the time until the next call, 0 for Options.StallInterval. If err is not
+// nil, the exchange fails with it.
+type StallFunc func(waited time.Duration) (again time.Duration, err error)
+
 // Exchange is a request that was sent and a response whose headers have been
 // received.
 type Exchange struct {
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -197,11 +197,11 @@
 	o := testOptions("1")
 	stallCalls := 0
 	o.StallInterval = 20 * time.Millisecond
-	o.OnStall = func(time.Duration) error {
+	o.OnStall = func(time.Duration) (time.Duration, error) {
 		if stallCalls++; stallCalls == 3 {
 			close(release)
 		}
-		return nil
+		return 0, nil
 	}
 	x, err := NewPool().Do(context.Background(), address, newPostRequest("1"), o)
 	assert.NilError(t, err)
@@ -213,7 +213,7 @@
 	errStop := errors.New("stop")
 	// The second read keeps the connection open until the client closes it.
 	unresponsiveAddress := startServer(t, func(_ int, _ net.Conn, r *bufio.Reader) { _, _ = readRequest(r); _, _ = readRequest(r) })
-	o.OnStall = func(time.Duration) error { return errStop }
+	o.OnStall = func(time.Duration) (time.Duration, error) { return 0, errStop }
 	_, err = NewPool().Do(context.Background(), unresponsiveAddress, newPostRequest("1"), o)
 	assert.ErrorIs(t, err, errStop)
 }
@@ -294,7 +294,7 @@
 	stalled := errors.New("stalled")
 	o := testOptions("1")
 	o.StallInterval, o.ProgressBytes = 200*time.Millisecond, 1000
-	o.OnStall = func(time.Duration) error { return stalled }
+	o.OnStall = func(time.Duration) (time.Duration, error) { return 0, stalled }
 	x, err := NewPool().Do(t.Context(), address, newPostRequest("1"), o)
 	assert.NilError(t, err)
 	defer x.Abort()
@@ -316,7 +316,7 @@
 	})
 	o := testOptions("1")
 	o.StallInterval, o.ProgressBytes = 200*time.Millisecond, 1000
-	o.OnStall = func(time.Duration) error { return errors.New("stalled") }
+	o.OnStall = func(time.Duration) (time.Duration, error) { return 0, errors.New("stalled") }
 	x, err := NewPool().Do(t.Context(), address, newPostRequest("1"), o)
 	assert.NilError(t, err)
 	defer x.Abort()
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -30,10 +30,10 @@
 	idleSince, idleUntil time.Time
 	// used is true if the connection has carried an exchange before.
 	used bool
-	// onStall, if set, is called every stallInterval without progress. A read fails at
-	// deadline, unless deadline is zero.
+	// onStall, if set, is called every stallInterval without progress, or after the time
+	// that its last call returned. A read fails at deadline, unless deadline is zero.
 	stallInterval time.Duration
-	onStall       func(waited time.Duration) error
+	onStall       StallFunc
 	deadline      time.Time
 	// progressAt is when progress was last made, nextStall when onStall is due.
 	progressAt, nextStall time.Time
@@ -98,8 +98,11 @@
 	if c.onStall == nil || now.Before(c.nextStall) {
 		return nil
 	}
-	err := c.onStall(now.Sub(c.progressAt))
-	c.nextStall = time.Now().Add(c.stallInterval)
+	again, err := c.onStall(now.Sub(c.progressAt))
+	if again <= 0 {
+		again = c.stallInterval
+	}
+	c.nextStall = time.Now().Add(again)
 	return err
 }
 
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -67,6 +67,14 @@
 	RequestUnfinished = define(1841, "request-unfinished", zerolog.ErrorLevel,
 		"A request was still in progress when the time of a graceful shutdown was over; its connection ends with the process.",
 		"Allow more time for the shutdown, or check the instances in the request's path.")
+	SuccessorUsed = define(1842, "successor-used", zerolog.InfoLevel,
+		"Another instance takes over a request whose instance is silent or failed. The field begun tells whether it had sent the "+
+			"next event or the whole response by then.", noAction)
+	SuccessorDropped = define(1843, "successor-dropped", zerolog.InfoLevel,
+		"A silent instance went on by itself; the request that was sent to another instance meanwhile was cancelled.", noAction)
+	SuccessorFailed = define(1844, "successor-failed", zerolog.InfoLevel,
+		"Another instance could not take over a request whose instance is silent; the request goes on waiting for the first.",
+		noAction)
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,21 +28,19 @@
 	maxIdleOnce       = 1500 * time.Millisecond
 	// responseTimeoutFactor times the latency objective is how long an
 	// idempotent request waits for its response before another instance is
-	// tried.
+	// asked as well.
 	responseTimeoutFactor = 2
 	// minProgressBytes is the number of bytes that must arrive within that time for a
 	// response to count as on its way.
 	minProgressBytes = 512
 )
 
-// errNoResponse ends an exchange because another instance may answer sooner.
-var errNoResponse = errors.New("gateway: no response in time")
-
 // serveBuffered forwards a request whose response is buffered and sent to the
 // client as a whole.
 func (c *call) serveBuffered() {
+	defer c.dropSuccessor()
 	for {
-		grant, err := c.admit()
+		grant, err := c.nextGrant(c.admit)
 		if err != nil {
 			c.refuseUnadmitted(err)
 			return
@@ -63,34 +62,36 @@
 func (c *call) tryInstance(grant chain.Grant) bool {
 	first := grant.Path.First()
 	c.lastPath = grant.Path
-	x, err := c.exchange(grant.Path, c.inbound.LastEvent, c.bufferedOptions())
+	x, answer, err := c.openBuffered(grant.Path)
 	if err != nil {
 		return c.handleIncompleteResponse(first, err)
 	}
 	reply := c.g.protocol.Reply(x.Response)
 	if reply.NotExecuted {
 		x.Abort()
-		return c.handleRefusal(first, reply, x.Response.StatusCode)
+		return c.handleRefusal(reply, x.Response.StatusCode)
 	}
 	if !authentic(x.Response, reply) {
 		x.Abort()
 		return c.handleIncompleteResponse(first, errors.Join(backend.ErrExchangeFailed, errNotAuthentic))
 	}
-	body, complete, err := readStart(x.Response.Body)
-	if err != nil {
+	if err := answer.read(x.Response.Body); err != nil {
 		x.Abort()
 		return c.handleIncompleteResponse(first, errors.Join(backend.ErrExchangeFailed, err))
 	}
-	if !complete {
-		c.forwardLong(x, body)
+	if !answer.complete {
+		c.forwardLong(x, answer.start)
 		return false
 	}
 	x.Finish()
 	c.recordAnswered(c.respondedAt)
 	if x.Response.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() {
 		c.recordPossibleRun(first.Instance)
-		c.avoid = append(c.avoid, first.Instance)
+		c.addAvoided(first.Instance)
 		c.g.tracker.RecordFailure(first.Instance, time.Now())
+		if c.successor != nil {
+			return true
+		}
 		if c.takeRepeat() {
 			c.logEvent(events.RequestRetried).Str("instance", first.Instance).
 				Int("status", x.Response.StatusCode).Send()
@@ -99,10 +100,38 @@
 	} else {
 		c.g.tracker.RecordSuccess(first.Instance)
 	}
-	c.sendResponse(x.Response, body)
+	c.sendResponse(x.Response, answer.start)
 	return false
 }
 
+// openBuffered returns the successor's exchange if there is a successor, and otherwise a new
+// one.
+func (c *call) openBuffered(path chain.Path) (*backend.Exchange, *bufferedBody, error) {
+	if n := c.takeSuccessor(); n != nil {
+		return n.exchange, &n.answer, n.err
+	}
+	x, err := c.exchange(path, c.inbound.LastEvent, c.bufferedOptions())
+	return x, &bufferedBody{}, err
+}
+
+// bufferedBody is the body of a response, or the start of a long one.
+type bufferedBody struct {
+	start []byte
+	// complete is true if start is the whole body; wasRead is true once it was read.
+	complete, wasRead bool
+}
+
+// read reads the body unless it has been read.
+func (b *bufferedBody) read(body io.Reader) error {
+	if b.wasRead {
+		return nil
+	}
+	var err error
+	b.start, b.complete, err = readStart(body)
+	b.wasRead = err == nil
+	return err
+}
+
 // readStart reads a body of at most maxBufferedBytes to its end. Of a longer one it
 // returns the start, and complete is false.
 func readStart(body io.Reader) (start []byte, complete bool, err error) {
@@ -233,13 +262,32 @@
 	if c.route.Repeatable() {
 		o.MaxIdle = maxIdleRepeatable
 	}
-	if c.route.Kind == routing.Idempotent && len(c.possiblyRanOn)+1 < c.route.MaxAttempts && c.route.LatencyObjective > 0 {
+	if c.route.Kind == routing.Idempotent && c.route.LatencyObjective > 0 {
 		o.StallInterval = responseTimeoutFactor * c.route.LatencyObjective
-		o.OnStall, o.ProgressBytes = func(time.Duration) error { return errNoResponse }, minProgressBytes
+		o.OnStall, o.ProgressBytes = c.onSilence, minProgressBytes
 	}
 	return o
 }
 
+// onSilence is the backend.StallFunc of a response that is buffered. A successor asks
+// another instance, while the exchange is kept until one of them has the whole response.
+func (c *call) onSilence(time.Duration) (again time.Duration, err error) {
+	if c.successor != nil {
+		return c.checkSuccessor()
+	}
+	first := c.lastPath.First().Instance
+	if !slices.Contains(c.avoid, first) {
+		c.recordPossibleRun(first)
+		c.addAvoided(first)
+		c.g.tracker.RecordFailure(first, time.Now())
+	}
+	req := admitRequest{service: c.service, demand: c.demand(), urgency: c.urgency}
+	if !c.attemptsLeft() || !c.startSuccessor(req, c.inbound.LastEvent, c.bufferedOptions(), c.beginBuffered) {
+		return 0, nil
+	}
+	return successorPollInterval, nil
+}
+
 // belongsToCall reports whether a response belongs to this call. A response that
 // carries no ID counts as belonging to it only if it can't be a late one for an earlier
 // request of the connection.
@@ -255,6 +303,10 @@
 	if c.clientGone() {
 		return false
 	}
+	if errors.Is(err, errMoved) {
+		c.recordPossibleRun(first.Instance)
+		return true
+	}
 	c.observeInterruption(first, err)
 	if c.refuseQuarantined() {
 		return false
@@ -269,7 +321,10 @@
 	case !c.deadlinePassed():
 		c.g.tracker.RecordFailure(first.Instance, time.Now())
 	}
-	c.avoid = append(c.avoid, first.Instance)
+	c.addAvoided(first.Instance)
+	if c.successor != nil {
+		return true
+	}
 	if unsent && c.takeResend() || !unsent && c.takeRepeat() {
 		c.logEvent(events.RequestRetried).Str("instance", first.Instance).Err(err).Send()
 		return true
@@ -288,8 +343,11 @@
 // handleRefusal handles the refusal of an instance, which has not run the
 // request. It returns true if another instance should be tried; otherwise it
 // has answered the client.
-func (c *call) handleRefusal(first chain.Stage, reply Reply, status int) bool {
-	refusing := c.recordRefusal(first, reply, status)
+func (c *call) handleRefusal(reply Reply, status int) bool {
+	refusing := c.recordRefusal(c.lastPath, reply, status)
+	if c.successor != nil {
+		return true
+	}
 	if c.takeResend() {
 		c.logEvent(events.RequestRetried).Str("instance", refusing).Int("status", status).Bool("not_run", true).Send()
 		return true
@@ -308,11 +366,11 @@
 // show the reason.
 const refusalsBeforeCheck = 3
 
-// recordRefusal keeps new work away from the instance that refused the request,
+// recordRefusal keeps new work away from the instance of the path that refused the request,
 // and returns its ID. An instance of a model that refused for lack of memory is
 // not avoided by this request: it may accept the request when others end.
-func (c *call) recordRefusal(first chain.Stage, reply Reply, status int) string {
-	refusing := c.refusingInstance(first, reply)
+func (c *call) recordRefusal(path chain.Path, reply Reply, status int) string {
+	refusing := refusingInstance(path, reply)
 	if c.service.Model != nil && status == http.StatusServiceUnavailable {
 		now := time.Now()
 		fullPeriods := c.g.tracker.RecordRefusal(refusing, now)
@@ -322,7 +380,7 @@
 		}
 		return refusing
 	}
-	c.avoid = append(c.avoid, refusing)
+	c.addAvoided(refusing)
 	c.g.tracker.RecordFailure(refusing, time.Now())
 	c.observeMisdirected(refusing, status)
 	return refusing
@@ -330,13 +388,13 @@
 
 // refusingInstance returns the instance of the path that a refusal names, or
 // the first instance of the path.
-func (c *call) refusingInstance(first chain.Stage, reply Reply) string {
-	for _, stage := range c.lastPath {
+func refusingInstance(path chain.Path, reply Reply) string {
+	for _, stage := range path {
 		if stage.Address == reply.FaultAddress {
 			return stage.Instance
 		}
 	}
-	return first.Instance
+	return path.First().Instance
 }
 
 // observeMisdirected asks an instance which layers it holds, after it refused a
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -57,6 +57,8 @@
 	firstEvent, longestGap time.Duration
 	// sentStatus is the status code sent to the client, 0 before that.
 	sentStatus int
+	// successor is a second exchange beside a silent one, or nil.
+	successor *successor
 	// lastPath (the latest path) and waited (the total waiting time) are logged
 	// with the outcome.
 	lastPath chain.Path
@@ -316,6 +318,13 @@
 	}
 }
 
+// addAvoided makes the request avoid an instance.
+func (c *call) addAvoided(instance string) {
+	if !slices.Contains(c.avoid, instance) {
+		c.avoid = append(c.avoid, instance)
+	}
+}
+
 // takeResend reports whether a request may be sent again that has certainly not
 // run, or for which the caller has checked attemptsLeft. If so, it charges the
 // repeat to the retry budget.
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -19,6 +19,56 @@
 // errEventTooLong means that an event exceeds maxEventBytes.
 var errEventTooLong = errors.New("gateway: event too long")
 
+// eventReader reads the events of a stream.
+type eventReader struct {
+	r *bufio.Reader
+	// next is an event that was read and not yet returned, nil if there is none.
+	next *readResult
+}
+
+// readResult is a result of readEvent.
+type readResult struct {
+	event []byte
+	id    string
+	err   error
+}
+
+func newEventReader(body io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(body, eventBufferBytes)}
+}
+
+// read returns the next event, as readEvent does.
+func (e *eventReader) read() (event []byte, id string, err error) {
+	if n := e.next; n != nil {
+		e.next = nil
+		return n.event, n.id, n.err
+	}
+	return readEvent(e.r)
+}
+
+// skipUntilNew discards comments and the events up to the one with id last. The end of the
+// stream counts as new. Its errors are those of readEvent and errEventMissing.
+func (e *eventReader) skipUntilNew(last string) error {
+	for {
+		event, id, err := readEvent(e.r)
+		if err != nil && (err != io.EOF || len(event) > 0) {
+			return err
+		}
+		relation := eventNext
+		if id != "" {
+			relation = compareEventIDs(id, last)
+		}
+		if relation == eventAfterGap {
+			return errEventMissing
+		}
+		if err == nil && (relation == eventAlreadySent || !isProgress(event)) {
+			continue
+		}
+		e.next = &readResult{event, id, err}
+		return nil
+	}
+}
+
 // readEvent reads one event, including the empty line that ends it, and returns
 // it with its id. It returns io.EOF if the stream ends before an event begins, and
 // io.ErrUnexpectedEOF if it ends within an event.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,13 +1,15 @@
 package gateway
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/nutmegroute/nutmegroute/internal/backend"
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/events"
@@ -18,7 +20,7 @@
 	// looks for the cause. It looks again after each further stallCheckInterval
 	// of silence.
 	stallCheckInterval = 250 * time.Millisecond
-	// stallLimit is the duration of silence after which a stream is moved without
+	// stallLimit is the duration of silence after which a successor is started without
 	// a known cause, provided that the route allows another attempt, a path
 	// without the first instance has free capacity and takeResend allows the
 	// repeat. Clients disconnect after two seconds of silence.
@@ -28,9 +30,6 @@
 )
 
 var (
-	// errMoved ends an exchange of a stream that continues on other instances.
-	// The repeat has already been charged to the retry budget.
-	errMoved = errors.New("gateway: stream moves to other instances")
 	// errEventMissing means that an instance skipped an event.
 	errEventMissing = errors.New("gateway: event missing")
 	// errClientGone means that the client no longer reads.
@@ -69,8 +68,9 @@
 // fail.
 func (c *call) serveStream() {
 	s := &stream{call: c, control: http.NewResponseController(c.w), lastEvent: c.inbound.LastEvent}
+	defer s.dropSuccessor()
 	for {
-		grant, err := s.admit()
+		grant, err := s.nextGrant(s.admit)
 		if err != nil {
 			s.endUnadmitted(err)
 			return
@@ -133,18 +133,14 @@
 // stream. It returns true if another path should be tried.
 func (s *stream) tryPath(path chain.Path) bool {
 	first := path.First()
-	options := backend.Options{
-		Deadline: s.deadline, MaxIdle: maxIdleOnce, Matches: s.belongsToCall, StallInterval: stallCheckInterval,
-		OnStall: s.onStall,
-	}
-	x, err := s.exchange(path, s.lastEvent, options)
+	x, events, err := s.open(path)
 	if err != nil {
 		return s.handleIncomplete(first, err)
 	}
 	reply := s.g.protocol.Reply(x.Response)
 	if reply.NotExecuted {
 		x.Abort()
-		return s.handleNotExecuted(first, reply, x.Response.StatusCode)
+		return s.handleNotExecuted(reply, x.Response.StatusCode)
 	}
 	if x.Response.StatusCode != http.StatusOK {
 		return s.handleNonStream(x, first)
@@ -154,7 +150,7 @@
 		return s.handleIncomplete(first, errors.Join(backend.ErrExchangeFailed, errNotAuthentic))
 	}
 	s.sendHeaders(x.Response)
-	err = s.relay(x)
+	err = s.relay(x, events)
 	if err == nil {
 		x.Finish()
 		s.g.tracker.RecordPathSuccess(s.currentGrant().Path)
@@ -167,6 +163,26 @@
 	return s.handleIncomplete(first, err)
 }
 
+// open returns the successor's exchange if there is a successor, and otherwise a new one.
+// The events of the response are read from the eventReader.
+func (s *stream) open(path chain.Path) (*backend.Exchange, *eventReader, error) {
+	if n := s.takeSuccessor(); n != nil {
+		return n.exchange, n.events, n.err
+	}
+	x, err := s.exchange(path, s.lastEvent, s.options())
+	if err != nil {
+		return nil, nil, err
+	}
+	return x, newEventReader(x.Response.Body), nil
+}
+
+func (s *stream) options() backend.Options {
+	return backend.Options{
+		Deadline: s.deadline, MaxIdle: maxIdleOnce, Matches: s.belongsToCall, StallInterval: stallCheckInterval,
+		OnStall: s.onStall,
+	}
+}
+
 // handleNonStream handles a response that is not a stream, that is, one with a
 // status other than 200. It returns true if another path should be tried.
 func (s *stream) handleNonStream(x *backend.Exchange, first chain.Stage) bool {
@@ -189,7 +205,10 @@
 	}
 	x.Finish()
 	s.recordPossibleRun(first.Instance)
-	s.avoid = append(s.avoid, first.Instance)
+	s.addAvoided(first.Instance)
+	if s.successor != nil {
+		return true
+	}
 	if x.Response.StatusCode >= http.StatusInternalServerError && s.takeRepeat() {
 		return true
 	}
@@ -202,10 +221,9 @@
 
 // relay forwards whole events until the stream is complete. A stream without any event
 // that ends with its connection is not complete: the instance may have ended.
-func (s *stream) relay(x *backend.Exchange) error {
-	r := bufio.NewReaderSize(x.Response.Body, eventBufferBytes)
+func (s *stream) relay(x *backend.Exchange, events *eventReader) error {
 	for {
-		event, id, err := readEvent(r)
+		event, id, err := events.read()
 		if err == io.EOF && len(event) == 0 {
 			if s.answerEvents == 0 && x.EndsWithConnection() {
 				return errors.Join(backend.ErrExchangeFailed, io.ErrUnexpectedEOF)
@@ -221,6 +239,7 @@
 		}
 		if forwarded && isProgress(event) {
 			x.Progress()
+			s.dropSuccessor()
 		}
 	}
 }
@@ -265,69 +284,76 @@
 	s.countAnswerEvent(now)
 }
 
-// onStall is called at each stallCheckInterval while a stream is silent; waited is
-// the duration of the silence. If it returns an error, the exchange ends and the
-// stream moves to another path.
-func (s *stream) onStall(waited time.Duration) error {
-	path := s.currentGrant().Path
-	first := path.First().Instance
-	if waited >= stallLimit && s.recordRunAndCheckAttempts(first) && s.avoidIfReplaceable(first) && s.takeResend() {
-		s.logEvent(events.StreamStalled).Str("silent", first).Dur("silent_ms", waited).Int("events", s.eventCount).Send()
-		return errMoved
-	}
-	fault, err := s.g.faults.Locate(s.context(), path, s.inbound.ID, time.Now())
-	if err != nil {
-		return nil
-	}
-	if fault == "" {
-		return s.moveIfSlow(waited)
-	}
-	s.avoid = append(s.avoid, fault)
-	s.logEvent(events.StreamStalled).Str("fault", fault).Dur("silent_ms", waited).Int("events", s.eventCount).Send()
-	if s.reroute(fault) || !s.recordRunAndCheckAttempts(first) || !s.takeResend() {
-		return nil
+// onStall is the backend.StallFunc of a stream. A stream that stalls goes on through a
+// successor, while its own exchange is kept until the successor has sent the next event: a
+// silent instance may be sound.
+func (s *stream) onStall(waited time.Duration) (again time.Duration, err error) {
+	if s.successor != nil {
+		return s.checkSuccessor()
+	}
+	if !s.shouldMove(waited) {
+		return 0, nil
+	}
+	first := s.currentGrant().Path.First().Instance
+	s.recordPossibleRun(first)
+	if !s.attemptsLeft() || !s.startSuccessor(s.successorRequest(first), s.lastEvent, s.options(), s.beginStream(s.lastEvent)) {
+		return 0, nil
+	}
+	return successorPollInterval, nil
+}
+
+// successorRequest asks for a path for a successor. It does not begin at the first instance
+// of the silent exchange, which identifies streams by the id of their request.
+func (s *stream) successorRequest(first string) admitRequest {
+	demand := s.demand()
+	demand.Avoid = append(slices.Clone(s.avoid), first)
+	urgency := s.urgency
+	if s.eventCount > 0 {
+		urgency = continueUrgency
 	}
-	return errMoved
+	return admitRequest{service: s.service, demand: demand, urgency: urgency}
 }
 
-// recordRunAndCheckAttempts records that the instance may have run the request and
-// reports whether the route allows another attempt.
-func (s *stream) recordRunAndCheckAttempts(instance string) bool {
-	s.recordPossibleRun(instance)
-	return s.attemptsLeft()
+// shouldMove reports whether a stream that has been silent for waited is to be continued on
+// another path: an instance of its path has failed and can't be replaced by a reroute, or is
+// slow while a faster path exists, or the silence has lasted for stallLimit.
+func (s *stream) shouldMove(waited time.Duration) bool {
+	grant := s.currentGrant()
+	stalled := func() *zerolog.Event {
+		return s.logEvent(events.StreamStalled).Dur("silent_ms", waited).Int("events", s.eventCount)
+	}
+	fault, err := s.g.faults.Locate(s.context(), grant.Path, s.inbound.ID, time.Now())
+	if err == nil && fault != "" {
+		s.addAvoided(fault)
+		stalled().Str("fault", fault).Send()
+		return !s.reroute(fault)
+	}
+	if err == nil {
+		if slow, factor := s.slowStage(grant); slow != "" {
+			stalled().Str("slow", slow).Float64("slowness", factor).Send()
+			return true
+		}
+	}
+	if waited < stallLimit {
+		return false
+	}
+	stalled().Str("silent", grant.Path.First().Instance).Send()
+	return true
 }
 
 // slowFactor is the minimum slowness factor of an instance at which silent streams
 // are moved to a faster path.
 const slowFactor = 3
 
-// moveIfSlow returns errMoved if the stream waits for a slow instance and a
-// faster path can take it.
-func (s *stream) moveIfSlow(waited time.Duration) error {
+// slowStage returns the instance of the path that makes a silent stream slow and its
+// slowness factor, or "" if there is none or no faster path could take the stream.
+func (s *stream) slowStage(grant chain.Grant) (string, float64) {
 	now := time.Now()
-	grant := s.currentGrant()
 	slow, factor := s.g.faults.SlowestStage(s.context(), grant.Path, now)
-	if factor < slowFactor || !s.recordRunAndCheckAttempts(grant.Path.First().Instance) ||
-		!s.g.tracker.HasFasterPath(s.g.directory.View(), s.service, s.demand(), grant, now) || !s.takeResend() {
-		return nil
+	if factor < slowFactor || !s.g.tracker.HasFasterPath(s.g.directory.View(), s.service, s.demand(), grant, now) {
+		return "", 0
 	}
-	s.logEvent(events.StreamStalled).Str("slow", slow).Float64("slowness", factor).Dur("silent_ms", waited).
-		Int("events", s.eventCount).Send()
-	return errMoved
-}
-
-// avoidIfReplaceable reports whether capacity is available for the stream on a
-// path that does not use the instance first. If so, it adds the instance to avoid.
-// A stream that is sent to the same path again would only lose its position in
-// the instances' queues.
-func (s *stream) avoidIfReplaceable(first string) bool {
-	demand := s.demand()
-	demand.Avoid = append(append([]string{}, s.avoid...), first)
-	if !s.g.tracker.Fits(s.g.directory.View(), s.service, demand, time.Now()) {
-		return false
-	}
-	s.avoid = append(s.avoid, first)
-	return true
+	return slow, factor
 }
 
 // handleIncomplete handles an exchange that ended before the stream was
@@ -339,7 +365,6 @@
 	}
 	if errors.Is(err, errMoved) {
 		s.recordPossibleRun(first.Instance)
-		s.logEvent(events.RequestRetried).Str("instance", first.Instance).Err(err).Int("events", s.eventCount).Send()
 		return true
 	}
 	s.observeInterruption(first, err)
@@ -353,10 +378,13 @@
 	default:
 		s.g.tracker.RecordFailure(first.Instance, time.Now())
 	}
-	s.avoid = append(s.avoid, first.Instance)
+	s.addAvoided(first.Instance)
 	if !unsent {
 		s.recordPossibleRun(first.Instance)
 	}
+	if s.successor != nil {
+		return true
+	}
 	if unsent && s.takeResend() || !unsent && s.takeRepeat() {
 		s.logEvent(events.RequestRetried).Str("instance", first.Instance).Err(err).Int("events", s.eventCount).Send()
 		return true
@@ -376,11 +404,15 @@
 
 // handleNotExecuted handles the refusal of an instance. It returns true if
 // another path should be tried.
-func (s *stream) handleNotExecuted(first chain.Stage, reply Reply, status int) bool {
+func (s *stream) handleNotExecuted(reply Reply, status int) bool {
+	if s.successor != nil {
+		s.recordRefusal(s.lastPath, reply, status)
+		return true
+	}
 	if s.sentStatus == 0 {
-		return s.handleRefusal(first, reply, status)
+		return s.handleRefusal(reply, status)
 	}
-	s.recordRefusal(first, reply, status)
+	s.recordRefusal(s.lastPath, reply, status)
 	if s.takeResend() {
 		return true
 	}
