gateway: Send the headers of a stream with its first event

What callers saw: a connection that was closed without a byte in place of an answer or a refusal. Cause: the status counted as sent as soon as the head of an instance's response had arrived, although it lay in a buffer until the first event. If the instance ended in between and no other one took the stream, the connection was cut. Evidence: TestStreamThatBreaksBeforeItsFirstEventIsAnswered fails before this change with EOF. Change: the headers go with the first event, or with the end of a complete stream without events. Until then the request can be answered by another instance with that one's headers, refused, or told that the response is broken. Clients see no head later than before: it was not flushed alone.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -149,7 +149,6 @@
 		x.Abort()
 		return s.handleIncomplete(first, errors.Join(backend.ErrExchangeFailed, errNotAuthentic))
 	}
-	s.sendHeaders(x.Response)
 	err = s.relay(x, events)
 	if err == nil {
 		x.Finish()
@@ -228,12 +227,13 @@
 			if s.answerEvents == 0 && x.EndsWithConnection() {
 				return errors.Join(backend.ErrExchangeFailed, io.ErrUnexpectedEOF)
 			}
+			s.sendHeaders(x.Response)
 			return nil
 		}
 		if err != nil {
 			return errors.Join(backend.ErrExchangeFailed, err)
 		}
-		forwarded, err := s.forwardEvent(event, id)
+		forwarded, err := s.forwardEvent(x, event, id)
 		if err != nil {
 			return err
 		}
@@ -245,8 +245,9 @@
 }
 
 // forwardEvent sends one event to the client unless the client already has it, and
-// reports whether it did.
-func (s *stream) forwardEvent(event []byte, id string) (bool, error) {
+// reports whether it did. The headers of the response go with the first event: until then
+// the request can still be refused, or answered by another instance.
+func (s *stream) forwardEvent(x *backend.Exchange, event []byte, id string) (bool, error) {
 	if id != "" {
 		switch compareEventIDs(id, s.lastEvent) {
 		case eventAlreadySent:
@@ -255,6 +256,7 @@
 			return false, errors.Join(backend.ErrExchangeFailed, errEventMissing)
 		}
 	}
+	s.sendHeaders(x.Response)
 	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := s.w.Write(event); err != nil {
 		return false, errClientGone
