gateway: Let a lowered idle limit take effect when clients know it

What callers saw: requests on connections that had been idle for less than the limit they knew got neither an answer nor a refusal, beside a change of the configuration. Evidence: TestLoweredIdleLimitTakesEffectLater fails before this change (connection reset by peer). Change: a limit that was replaced holds for another 5 s, the time in which a configuration is in force everywhere; the longest of them decides. A higher limit holds at once. Result: go test -race ./internal/gateway passes.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,56 @@
 	// idleMargin is added to the limit: clients reuse a connection until
 	// shortly before the limit.
 	idleMargin = 2 * time.Second
+	// limitLearningTime is how long clients may still use the idle limit of a configuration
+	// that was replaced.
+	limitLearningTime = 5 * time.Second
 )
 
+// idleLimits holds the idle limit in force and those that clients may still use.
+type idleLimits struct {
+	// mu guards current and replaced.
+	mu       sync.Mutex
+	current  time.Duration
+	replaced []replacedLimit
+}
+
+// replacedLimit is an idle limit that was replaced at a time.
+type replacedLimit struct {
+	limit time.Duration
+	at    time.Time
+}
+
+// set replaces the limit in force. A limit of 0 is none, for which defaultIdleLimit applies.
+func (l *idleLimits) set(limit time.Duration, now time.Time) {
+	if limit <= 0 {
+		limit = defaultIdleLimit
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limit == l.current {
+		return
+	}
+	if l.current > 0 {
+		l.replaced = append(l.replaced, replacedLimit{l.current, now})
+	}
+	l.current = limit
+}
+
+// longest returns the longest limit that clients may use.
+func (l *idleLimits) longest(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.replaced = slices.DeleteFunc(l.replaced, func(r replacedLimit) bool { return now.Sub(r.at) > limitLearningTime })
+	limit := l.current
+	if limit == 0 {
+		limit = defaultIdleLimit
+	}
+	for _, r := range l.replaced {
+		limit = max(limit, r.limit)
+	}
+	return limit
+}
+
 // clientConns holds the open connections of clients. Unlike http.Server, which closes a
 // connection that has read a part of a request as long as the head is incomplete, it closes
 // only connections on which nothing was read since the last response. Unlike
@@ -181,22 +230,13 @@
 
 // closeIdleConnections closes the client connections that have been idle for too long.
 func (g *Gateway) closeIdleConnections(now time.Time) {
-	limit := g.idleLimit()
+	limit := g.idleLimits.longest(now) + idleMargin
 	g.clients.closeIdle(limit, now, func(c net.Conn, idle time.Duration) {
 		g.log.LogRateLimited(events.ConnectionClosedIdle).Stringer("client", c.RemoteAddr()).
 			Dur("idle_ms", idle).Dur("limit_ms", limit).Send()
 	})
 }
 
-// idleLimit returns how long a client's connection may be idle.
-func (g *Gateway) idleLimit() time.Duration {
-	limit := defaultIdleLimit
-	if t := g.activeTable.Get(); t != nil && t.Limits().IdleTimeout > 0 {
-		limit = t.Limits().IdleTimeout
-	}
-	return limit + idleMargin
-}
-
 // headerBytes returns the size of the header fields of a request.
 func headerBytes(h http.Header) int64 {
 	const separators = len(": \r\n")
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
 
 // connectedPair returns both ends of a connection of a client, the gateway's end first.
@@ -76,6 +78,43 @@
 	assert.NilError(t, <-read)
 }
 
+// Guards against requests that meet the close of their connection because a new
+// configuration lowers the idle limit: clients use the older limit until they know the new
+// one.
+func TestLoweredIdleLimitTakesEffectLater(t *testing.T) {
+	g := newTestGateway(t, idempotentRoute, answerAll)
+	_, address := serveClients(t, g)
+	h := &configHandler{g}
+	h.install(routing.Configuration{Version: 2, Limits: routing.Limits{IdleTimeout: 30 * time.Second}}, 2)
+	c := dialClient(t, address)
+	c.write(clientRequest)
+	_, err := c.readStatus()
+	assert.NilError(t, err)
+	h.install(routing.Configuration{Version: 3, Limits: routing.Limits{IdleTimeout: time.Second}}, 3)
+	g.closeIdleConnections(time.Now().Add(4 * time.Second))
+	c.write(clientRequest)
+	_, err = c.readStatus()
+	assert.NilError(t, err, "the client does not know the new limit yet")
+	g.closeIdleConnections(time.Now().Add(8 * time.Second))
+	_, err = c.readStatus()
+	assert.Equal(t, err, io.ErrUnexpectedEOF, "the new limit must come into force")
+}
+
+// Guards against limits that are shorter than one that clients may still use, when several
+// configurations come in quick succession.
+func TestLongestIdleLimit(t *testing.T) {
+	var l idleLimits
+	now := time.Now()
+	assert.Equal(t, l.longest(now), defaultIdleLimit)
+	l.set(20*time.Second, now)
+	l.set(5*time.Second, now)
+	l.set(10*time.Second, now.Add(time.Second))
+	assert.Equal(t, l.longest(now.Add(limitLearningTime)), 20*time.Second)
+	assert.Equal(t, l.longest(now.Add(limitLearningTime+time.Second/2)), 10*time.Second)
+	l.set(0, now.Add(10*time.Second))
+	assert.Equal(t, l.longest(now.Add(10*time.Second)), defaultIdleLimit)
+}
+
 // Guards against a header size that is computed too small.
 func TestHeaderBytes(t *testing.T) {
 	assert.Equal(t, headerBytes(http.Header{"A": {"1", "22"}, "Bc": {""}}), int64(len("A: 1\r\nA: 22\r\nBc: \r\n")))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	ends        *endDetector
 	quarantine  *quarantine.Register
 	clients     *clientConns
+	idleLimits  idleLimits
 	streams     *activeStreams
 	// reporter is nil until the gateway has joined its peers, and always nil if
 	// no peer port is set.
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -38,6 +38,7 @@
 	if !h.g.activeTable.Install(table) {
 		return
 	}
+	h.g.idleLimits.set(table.Limits().IdleTimeout, time.Now())
 	h.g.log.Log(events.ConfigurationInstalled).Int64("version", c.Version).Uint64("revision", revision).
 		Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Send()
 	h.g.markSynced(&h.g.configSynced)
