--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -174,6 +174,27 @@
 	assert.Equal(t, len(tracker.LocalReport(start).Loads), 0)
 }
 
+// Guards against a stream that waits for a lost stage although the instances of its other
+// stages hold a part of the missing layers.
+func TestReroutePlansTheRestOfThePath(t *testing.T) {
+	v, tracker := newView([]testInstance{
+		{"r1", "large", "r", 0, 30}, {"r2", "large", "r", 30, 55}, {"r3", "large", "r", 55, 80},
+	}...), NewInstanceTracker()
+	g, err := tracker.Choose(v, testService(), Demand{Tokens: 900, Domain: "r"}, start)
+	assert.NilError(t, err)
+	v = newView([]testInstance{
+		{"r1", "large", "r", 0, 30}, {"r3", "large", "r", 50, 80}, {"r4", "large", "r", 25, 50},
+		{"r5", "small", "r", 0, 9},
+	}...)
+	tracker.RecordLost("r2", start)
+	g, ok := tracker.Reroute(v, testService(), g, "r2", start)
+	assert.Assert(t, ok)
+	want := Path{{"r1", "r1:1", 0, 30}, {"r4", "r4:1", 30, 50}, {"r3", "r3:1", 50, 80}}
+	assert.DeepEqual(t, g.Path, want)
+	tracker.Release(g)
+	assert.Equal(t, len(tracker.LocalReport(start).Loads), 0)
+}
+
 // Guards against a slow instance that continues to get requests, and against one
 // that gets no requests after its measured slowness has expired.
 func TestChooseBypassesSlowInstances(t *testing.T) {
--- a/internal/chain/tracker.go
+++ b/internal/chain/tracker.go
@@ -267,34 +267,6 @@
 	}
 }
 
-// Reroute replaces the stage of a grant that runs on the given instance by stages
-// on other instances of the same failure domain and moves the reservation to them.
-// It returns false if there are no such instances or if the given instance runs
-// the first stage, which can't be replaced.
-func (t *InstanceTracker) Reroute(view *fleet.View, s *routing.Service, g Grant, instance string,
-	now time.Time) (Grant, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	index := slices.IndexFunc(g.Path, func(p Stage) bool { return p.Instance == instance })
-	if index <= 0 {
-		return g, false
-	}
-	domain := view.Instances[g.Path[0].Instance].Domain
-	used := []string{instance}
-	for _, stage := range g.Path {
-		used = append(used, stage.Instance)
-	}
-	list := excludeInstances(t.candidates(view, s, domain, false, now), used)
-	gap := fleet.LayerRange{From: g.Path[index].From, To: g.Path[index].To}
-	replacement, _, ok := searchPath(list, gap, g.tokens)
-	if !ok || len(g.Path)+len(replacement) > maxStages {
-		return g, false
-	}
-	path := slices.Concat(g.Path[:index], replacement, g.Path[index+1:])
-	t.release(g)
-	return t.reserve(path, g.tokens), true
-}
-
 // Restore releases a grant and reserves the previous path of the same request
 // again.
 func (t *InstanceTracker) Restore(g, previous Grant) Grant {
