gateway: Leave an exchange whose later stage is known to have ended

Cause: the first instance of the stream had been ordered to load the missing layers, and loads them only when the stream has left it; the stream waited for these layers. Change: an exchange is left before another instance has begun only if a later stage refuses connections, so that it has ended and the exchange can't go on, and neither a reroute nor a successor takes the stream. A silent stage does not count. The tests of client connections wait until the server reports the connection as idle: TestLoweredIdleLimitTakesEffectLater failed once because its close came before. A shutdown closes connections that have been idle for 50 ms, since the server may read a byte of the next request before it reports them idle. Result: TestStreamSurvivesTheLossOfAnyServer passes 12 times with the race detector; go test -race ./internal/gateway passes.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -23,6 +23,10 @@
 	// limitLearningTime is how long clients may still use the idle limit of a configuration
 	// that was replaced.
 	limitLearningTime = 5 * time.Second
+	// unusedTime is how long a connection must have been idle to be closed by a shutdown.
+	// http.Server may read the first byte of the next request before it reports that the
+	// connection is idle; it reads the rest at once.
+	unusedTime = 50 * time.Millisecond
 )
 
 // idleLimits holds the idle limit in force and those that clients may still use.
@@ -110,7 +114,7 @@
 func (l *clientConns) closeUnused(now time.Time) bool {
 	open := l.list()
 	for _, c := range open {
-		c.closeIdle(-1, now)
+		c.closeIdle(unusedTime, now)
 	}
 	return len(open) == 0
 }
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
@@ -42,6 +43,22 @@
 
 const clientRequest = "POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
 
+// waitIdle waits until all connections of clients are idle.
+func waitIdle(t *testing.T, g *Gateway) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, c := range g.clients.list() {
+			c.mu.Lock()
+			idle := c.idle
+			c.mu.Unlock()
+			if !idle {
+				return poll.Continue("a connection is in use")
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
 func (c *client) write(text string) {
 	c.t.Helper()
 	_, err := fmt.Fprint(c.conn, text)
@@ -72,6 +89,7 @@
 	status, err := c.readStatus()
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
+	waitIdle(t, g)
 	c.write(clientRequest[:20])
 	time.Sleep(50 * time.Millisecond)
 	g.closeIdleConnections(time.Now().Add(time.Hour))
@@ -91,6 +109,7 @@
 	c.write(clientRequest)
 	_, err := c.readStatus()
 	assert.NilError(t, err)
+	waitIdle(t, g)
 	c.write(clientRequest[:20])
 	time.Sleep(50 * time.Millisecond)
 	ended := make(chan error, 1)
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -51,19 +51,36 @@
 // Ended reports whether the instance at address refuses connections. Concurrent callers
 // share one check.
 func (d *endDetector) Ended(ctx context.Context, address string, now time.Time) bool {
-	d.mu.Lock()
-	check := d.checks[address]
-	if check != nil && now.Sub(check.startedAt) <= endCheckMaxAge {
-		d.mu.Unlock()
-		<-check.done
+	check := d.check(ctx, address, now)
+	<-check.done
+	return check.ended
+}
+
+// KnownEnded is like Ended but does not wait: it returns false until the check has ended.
+func (d *endDetector) KnownEnded(ctx context.Context, address string, now time.Time) bool {
+	check := d.check(ctx, address, now)
+	select {
+	case <-check.done:
 		return check.ended
+	default:
+		return false
+	}
+}
+
+// check returns a recent check of the instance at address, or a new one that it starts.
+func (d *endDetector) check(ctx context.Context, address string, now time.Time) *endCheck {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if check := d.checks[address]; check != nil && now.Sub(check.startedAt) <= endCheckMaxAge {
+		return check
 	}
-	check = &endCheck{startedAt: now, done: make(chan struct{})}
+	check := &endCheck{startedAt: now, done: make(chan struct{})}
 	d.checks[address] = check
-	d.mu.Unlock()
-	check.ended = d.refusesConnections(ctx, address)
-	close(check.done)
-	return check.ended
+	go func() {
+		check.ended = d.refusesConnections(context.WithoutCancel(ctx), address)
+		close(check.done)
+	}()
+	return check
 }
 
 func (d *endDetector) refusesConnections(ctx context.Context, address string) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,6 +30,10 @@
 )
 
 var (
+	// errStageLost ends an exchange whose stream waits for an instance that has ended and
+	// can't be replaced by a reroute. The repeat has already been charged to the retry
+	// budget.
+	errStageLost = errors.New("gateway: a later stage has ended")
 	// errEventMissing means that an instance skipped an event.
 	errEventMissing = errors.New("gateway: event missing")
 	// errClientGone means that the client no longer reads.
@@ -298,10 +302,26 @@
 	}
 	first := s.currentGrant().Path.First().Instance
 	s.recordPossibleRun(first)
-	if !s.attemptsLeft() || !s.startSuccessor(s.successorRequest(first), s.lastEvent, s.options(), s.beginStream(s.lastEvent)) {
+	if !s.attemptsLeft() {
 		return 0, nil
 	}
-	return successorPollInterval, nil
+	if s.startSuccessor(s.successorRequest(first), s.lastEvent, s.options(), s.beginStream(s.lastEvent)) {
+		return successorPollInterval, nil
+	}
+	if s.laterStageEnded() && s.takeResend() {
+		return 0, errStageLost
+	}
+	return 0, nil
+}
+
+// laterStageEnded reports whether an instance of the path that the request avoids, apart
+// from the first, is known to have ended. The first one then can't go on, and may have to
+// finish the stream before it can load the layers that are missing.
+func (s *stream) laterStageEnded() bool {
+	path := s.currentGrant().Path
+	return slices.ContainsFunc(path[1:], func(stage chain.Stage) bool {
+		return slices.Contains(s.avoid, stage.Instance) && s.g.ends.KnownEnded(s.context(), stage.Address, time.Now())
+	})
 }
 
 // successorRequest asks for a path for a successor. It does not begin at the first instance
@@ -365,7 +385,7 @@
 	if errors.Is(err, errClientGone) || s.clientGone() {
 		return false
 	}
-	if errors.Is(err, errMoved) {
+	if errors.Is(err, errMoved) || errors.Is(err, errStageLost) {
 		s.recordPossibleRun(first.Instance)
 		return true
 	}
