peer: Give a peer one interval to answer after a pause of this process

Cause: after a late tick, pingLoop skips the idle check once. time.Ticker keeps its phase, so the next check came 0 to 1 interval later and closed connections to peers that were alive; the entry then replaced their stages, and the replacements ran the same positions again. docs/design.md, section 9, promises one interval. Change: the ticker is reset after a late tick. A longer wait was ruled out: section 9 bounds the detection of a silent peer.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -379,8 +379,13 @@
 		}
 		now := n.options.Now()
 		// After a pause of this process, received frames may still be unread.
-		// The idle timeout is then checked one interval later.
+		// The idle timeout is then checked one interval later. Without the
+		// reset the ticker would keep its phase, and the next tick could come
+		// at once.
 		paused := now.Sub(lastTick) > 2*n.options.PingInterval
+		if paused {
+			ticker.Reset(n.options.PingInterval)
+		}
 		lastTick = now
 		if !paused && now.Sub(c.LastRead()) > n.options.IdleTimeout {
 			c.timedOut.Store(true)
