test/integration: Name the request and its replaced stages when a load check fails

When the long answer of TestLeavingGetsNoNewWork ends before its fifth token, the test waits for ever. Change: checkUninterrupted adds the request and its logged replacements. TestLeavingGetsNoNewWork fails when the long answer ends early. What the checks demand is unchanged. The new failure for an early end of the long answer was not seen in a run.

--- a/test/integration/leaving_test.go
+++ b/test/integration/leaving_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -76,12 +78,27 @@
 func (l *load) checkUninterrupted(c *cluster) error {
 	for _, a := range l.answers {
 		if err := errors.Join(a.checkComplete(), c.checkExactlyOnce(a)); err != nil {
-			return err
+			return fmt.Errorf("request %s, replaced stages %q: %w", a.id, c.replacedStages(a.id), err)
 		}
 	}
 	return nil
 }
 
+// replacedStages returns the replacements of stages of a request that the entries
+// have logged. Their reasons tell a planned stop from a stage that did not answer.
+func (c *cluster) replacedStages(requestID string) []string {
+	var replaced []string
+	for _, e := range c.entries {
+		for line := range strings.Lines(e.log.String()) {
+			var l struct{ Event, Request, Lost, Replacement, Reason, Time string }
+			if json.Unmarshal([]byte(line), &l) == nil && l.Event == "NR1200" && l.Request == requestID {
+				replaced = append(replaced, fmt.Sprintf("%s by %s at %s: %s", l.Lost, l.Replacement, l.Time, l.Reason))
+			}
+		}
+	}
+	return replaced
+}
+
 // Guards against new work at an engine whose sidecar is leaving, because of a signal
 // or of its state in the instance list, and against the loss of work that the
 // sidecar has accepted (I5).
@@ -114,7 +131,12 @@
 					}
 				})
 			}()
-			e := <-firstStage
+			var e *engineNode
+			select {
+			case e = <-firstStage:
+			case <-ended:
+				t.Fatalf("the long answer ended before a sidecar began to leave: %v", long.checkComplete())
+			}
 			leave(c, e)
 			leavingSince := time.Now()
 			c.checkRefusesSequences(e, leavingSince)
