revision, platform: Order revisions by the store's era first

Cause: after a restore the store gives out revisions again. Whatever keeps the highest revision took new changes for old ones (fleet, gossip, quarantines, relays), and a watch went on from a revision that meant another state. Entries of the copy keep their numbers, so in a newer era a listed entry with a lower number does not revive an instance that has left, for 4 s. One integer was preferred to a struct of two: comparisons, maxima and the messages between gateways stay as they are, and a revision without an era equals its number.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/process"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 // ErrHistoryExpired is returned by a watch that starts at a revision which the
@@ -21,9 +22,10 @@
 	Records []R
 	// Revision is the revision of the store up to which the caller now knows all
 	// changes.
-	Revision uint64
-	// LatestChange is the highest revision of a record in the batch.
-	LatestChange uint64
+	Revision revision.Revision
+	// LatestChange is the highest revision of a record in the batch, or the start of the
+	// store's era.
+	LatestChange revision.Revision
 	// ConfirmedAt is a time at which the store had no change after Revision. It is
 	// zero if the source could not confirm that.
 	ConfirmedAt time.Time
@@ -39,7 +41,7 @@
 	// Watch waits for changes after a revision, for at most wait. It returns
 	// ErrHistoryExpired if the source no longer holds the changes after that
 	// revision.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch[R], error)
+	Watch(ctx context.Context, after revision.Revision, wait time.Duration) (Batch[R], error)
 }
 
 // Handler receives what a feed reads. A feed calls its methods from a single
@@ -86,7 +88,7 @@
 	handler Handler[R]
 	options Options
 
-	revision uint64
+	revision revision.Revision
 	// failing is true from a failure until the next successful list;
 	// failingSince is when it began.
 	failing      bool
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 var errUnavailable = errors.New("store unavailable")
@@ -18,7 +20,7 @@
 type fakeStore struct {
 	mu             sync.Mutex
 	records        []string
-	rev            uint64
+	rev            revision.Revision
 	unavailable    bool
 	historyExpired bool
 	// watchHangs makes Watch wait until its context ends; List still answers.
@@ -43,7 +45,7 @@
 	return Batch[string]{Records: slices.Clone(s.records), Revision: s.rev}, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch[string], error) {
+func (s *fakeStore) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (Batch[string], error) {
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 // LayerRange is the half-open range [From, To) of model layers.
@@ -70,17 +72,22 @@
 	// instance may be stopping, and a stopping instance must get no work 2 s after
 	// the removal of its entry.
 	removalGrace = 1200 * time.Millisecond
+	// staleEntryTime is how long after a restore of the store an entry that may be older
+	// than an instance's leaving does not revive the instance. Instances that run write
+	// again within 2 s; the entry of one that has left is removed after three missed
+	// writes.
+	staleEntryTime = 4 * time.Second
 )
 
 // Directory maintains the newest view. It is safe for concurrent use.
 type Directory struct {
-	// mu guards revisions, observed, changedAt, removeAt and storeRecoveredAt,
+	// mu guards revisions, observed, changedAt, removeAt, held and storeRecoveredAt,
 	// and serializes changes of view.
 	mu   sync.Mutex
 	view atomic.Pointer[View]
 	// revisions holds the highest known revision of each instance's entry in the
 	// store.
-	revisions map[string]uint64
+	revisions map[string]revision.Revision
 	// observed holds the layers that instances reported themselves.
 	observed map[string]Observation
 	// changedAt is the time at which an instance's entry in the store last
@@ -89,15 +96,24 @@
 	// removeAt is the time at which an instance is removed that was found
 	// missing after an outage of the store.
 	removeAt map[string]time.Time
+	// held holds the entries that are applied later, see staleEntryTime.
+	held map[string]heldRecord
 	// storeRecoveredAt is the end of the last outage of the store.
 	storeRecoveredAt time.Time
 }
 
+// heldRecord is an entry that is applied at a time unless the instance's entry changes
+// before.
+type heldRecord struct {
+	Record
+	until time.Time
+}
+
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	d := &Directory{
-		revisions: make(map[string]uint64), observed: make(map[string]Observation),
-		changedAt: make(map[string]time.Time), removeAt: make(map[string]time.Time),
+		revisions: make(map[string]revision.Revision), observed: make(map[string]Observation),
+		changedAt: make(map[string]time.Time), removeAt: make(map[string]time.Time), held: make(map[string]heldRecord),
 	}
 	d.view.Store(newView(map[string]Instance{}))
 	return d
@@ -114,7 +130,7 @@
 // Record is one instance's entry in the store and the revision of the entry.
 type Record struct {
 	ID       string
-	Revision uint64
+	Revision revision.Revision
 	// Instance is nil if the entry was removed or is invalid.
 	Instance *Instance
 }
@@ -132,8 +148,17 @@
 	next := maps.Clone(d.view.Load().Instances)
 	for _, r := range records {
 		listed[r.ID] = true
+		if d.mayPrecedeLeaving(next, r) {
+			d.hold(r, now)
+			continue
+		}
 		d.applyRecord(next, r, now)
 	}
+	for id := range d.held {
+		if !listed[id] {
+			delete(d.held, id)
+		}
+	}
 	for id := range next {
 		if !listed[id] {
 			d.applyRecord(next, Record{ID: id, Revision: d.revisions[id] + 1}, now)
@@ -202,17 +227,23 @@
 }
 
 // Expire removes the missing instances whose grace period after an outage has
-// ended, and old observations.
+// ended, and old observations, and applies the entries that were held long enough.
 func (d *Directory) Expire(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := maps.Clone(d.view.Load().Instances)
-	removed := false
+	changed := false
+	for _, h := range d.held {
+		if !now.Before(h.until) {
+			d.applyRecord(next, h.Record, now)
+			changed = true
+		}
+	}
 	for id, at := range d.removeAt {
 		if !now.Before(at) {
 			delete(next, id)
 			delete(d.removeAt, id)
-			removed = true
+			changed = true
 		}
 	}
 	for id, o := range d.observed {
@@ -220,11 +251,32 @@
 			delete(d.observed, id)
 		}
 	}
-	if removed {
+	if changed {
 		d.publish(next)
 	}
 }
 
+// mayPrecedeLeaving reports whether a listed entry would revive an instance that is known
+// as draining or removed, although it may be older: the store was restored from a copy, whose
+// entries keep the numbers that they had.
+func (d *Directory) mayPrecedeLeaving(next map[string]Instance, r Record) bool {
+	known := d.revisions[r.ID]
+	if r.Instance == nil || r.Instance.Draining || r.Revision.Era() <= known.Era() || r.Revision.Number() >= known.Number() {
+		return false
+	}
+	current, present := next[r.ID]
+	return !present || current.Draining && current.StartedMS == r.Instance.StartedMS
+}
+
+// hold keeps an entry for staleEntryTime after it was first held.
+func (d *Directory) hold(r Record, now time.Time) {
+	until := now.Add(staleEntryTime)
+	if earlier, held := d.held[r.ID]; held && earlier.Revision == r.Revision {
+		until = earlier.until
+	}
+	d.held[r.ID] = heldRecord{r, until}
+}
+
 // applyRecord applies one record to next. A record with a lower revision than the
 // known one is ignored, since a list may be read from a lagging replica of the
 // store.
@@ -232,6 +284,7 @@
 	if r.Revision < d.revisions[r.ID] {
 		return
 	}
+	delete(d.held, r.ID)
 	if r.Revision > d.revisions[r.ID] {
 		delete(d.observed, r.ID)
 		d.changedAt[r.ID] = now
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,16 +5,18 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func newRecord(id string, revision uint64, change func(*Instance)) Record {
+func newRecord(id string, at revision.Revision, change func(*Instance)) Record {
 	in := &Instance{ID: id, Service: "s"}
 	if change != nil {
 		change(in)
 	}
-	return Record{ID: id, Revision: revision, Instance: in}
+	return Record{ID: id, Revision: at, Instance: in}
 }
 
 func isKnown(d *Directory, id string) bool {
@@ -116,3 +118,47 @@
 		d.revisions["a"] = 2
 	}
 }
+
+// Guards against an instance that has left and is used again because the store was restored
+// from a copy older than its leaving, and against an instance that stays unused although it
+// runs.
+func TestEntriesOlderThanTheLeavingAreHeldAfterARestore(t *testing.T) {
+	listed := []Record{
+		newRecord("removed", revision.New(2, 3), nil), newRecord("drains", revision.New(2, 4), nil),
+		newRecord("restarted", revision.New(2, 5), func(in *Instance) { in.StartedMS = 1 }),
+		newRecord("new", revision.New(2, 6), nil),
+	}
+	newDirectory := func() *Directory {
+		d := NewDirectory()
+		draining := func(in *Instance) { in.Draining = true }
+		d.Update([]Record{
+			newRecord("removed", revision.New(1, 3), nil), {ID: "removed", Revision: revision.New(1, 50)},
+			newRecord("drains", revision.New(1, 51), draining), newRecord("restarted", revision.New(1, 52), draining),
+			newRecord("new", revision.New(1, 53), nil),
+		}, start)
+		d.Replace(listed, true, start)
+		return d
+	}
+	drains := func(d *Directory, id string) bool { return d.View().Instances[id].Draining }
+
+	d := newDirectory()
+	assert.Assert(t, !isKnown(d, "removed") && drains(d, "drains"))
+	assert.Assert(t, !drains(d, "restarted"), "another start under the same id")
+	assert.Assert(t, isKnown(d, "new"))
+	d.Replace(listed, false, start.Add(time.Second)) // the next list of the same era
+	d.Expire(start.Add(staleEntryTime - time.Millisecond))
+	assert.Assert(t, !isKnown(d, "removed") && drains(d, "drains"))
+	d.Expire(start.Add(staleEntryTime))
+	assert.Assert(t, isKnown(d, "removed") && !drains(d, "drains"), "the instances run")
+
+	d = newDirectory()
+	d.Update([]Record{newRecord("removed", revision.New(2, 7), nil), {ID: "drains", Revision: revision.New(2, 8)}}, start)
+	assert.Assert(t, isKnown(d, "removed"), "the instance has written again")
+	d.Expire(start.Add(time.Minute))
+	assert.Assert(t, !isKnown(d, "drains"), "a held entry outlives its removal")
+
+	d = newDirectory()
+	d.Replace(listed[1:], false, start.Add(time.Second))
+	d.Expire(start.Add(time.Minute))
+	assert.Assert(t, !isKnown(d, "removed"), "a held entry outlives the list that lacks it")
+}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -19,6 +19,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/relay"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
 
@@ -67,7 +68,7 @@
 	startFeed(ctx, g, group, server, instanceFeed, g.platform.Instances, &instanceHandler{g},
 		feed.Options{Wait: storeWatchWait, Pause: storeWatchPause},
 		func(r fleet.Record) (string, bool) { return r.ID, r.Instance == nil })
-	startFeed(ctx, g, group, server, quarantineFeed, g.platform.Quarantines, &quarantineHandler{g: g, revisions: make(map[quarantine.Part]uint64)},
+	startFeed(ctx, g, group, server, quarantineFeed, g.platform.Quarantines, &quarantineHandler{g: g, revisions: make(map[quarantine.Part]revision.Revision)},
 		feed.Options{Wait: rareWatchWait, Pause: storeWatchPause},
 		func(r QuarantineRecord) (string, bool) { return string(r.Part), r.Removed })
 	if g.settings.PeerPort == 0 {
@@ -138,7 +139,7 @@
 }
 
 // LatestChange implements relay.Guide.
-func (f *feedGuide) LatestChange() uint64 {
+func (f *feedGuide) LatestChange() revision.Revision {
 	r := f.g.reporter.Load()
 	if r == nil {
 		return 0
@@ -152,8 +153,8 @@
 }
 
 // reportChange makes the latest change of a feed known to the other gateways.
-func (g *Gateway) reportChange(feedIndex int, revision uint64) {
+func (g *Gateway) reportChange(feedIndex int, latest revision.Revision) {
 	if r := g.reporter.Load(); r != nil {
-		r.SetLatestChange(feedIndex, revision)
+		r.SetLatestChange(feedIndex, latest)
 	}
 }
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -6,6 +6,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/feed"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
 
@@ -29,16 +30,16 @@
 }
 
 // install makes a configuration current unless it is invalid or not newer.
-func (h *configHandler) install(c routing.Configuration, revision uint64) {
+func (h *configHandler) install(c routing.Configuration, at revision.Revision) {
 	table, err := routing.NewTable(c)
 	if err != nil {
-		h.g.log.Log(events.ConfigurationRejected).Int64("version", c.Version).Uint64("revision", revision).Err(err).Send()
+		h.g.log.Log(events.ConfigurationRejected).Int64("version", c.Version).Uint64("era", at.Era()).Uint64("revision", at.Number()).Err(err).Send()
 		return
 	}
 	if !h.g.activeTable.Install(table) {
 		return
 	}
-	h.g.log.Log(events.ConfigurationInstalled).Int64("version", c.Version).Uint64("revision", revision).
+	h.g.log.Log(events.ConfigurationInstalled).Int64("version", c.Version).Uint64("era", at.Era()).Uint64("revision", at.Number()).
 		Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Send()
 	h.g.markSynced(&h.g.configSynced)
 }
@@ -79,7 +80,7 @@
 // recordChanges logs the differences between before and the current view, closes
 // the idle connections to removed instances, and records when an instance was
 // last added or removed.
-func (h *instanceHandler) recordChanges(before *fleet.View, revision uint64) {
+func (h *instanceHandler) recordChanges(before *fleet.View, at revision.Revision) {
 	after := h.g.directory.View()
 	membersChanged := false
 	for id, in := range after.Instances {
@@ -89,7 +90,7 @@
 			h.g.log.Log(events.InstanceChanged).Str("instance", id).Str("service", in.Service).
 				Str("address", in.Address).Str("failure_domain", in.Domain).Bool("draining", in.Draining).
 				Str("accelerator", in.Accelerator).Int("from", in.Layers.From).Int("to", in.Layers.To).
-				Uint64("revision", revision).Send()
+				Uint64("era", at.Era()).Uint64("revision", at.Number()).Send()
 		}
 	}
 	for id, in := range before.Instances {
@@ -97,7 +98,7 @@
 			membersChanged = true
 			h.g.pool.CloseIdle(in.Address)
 			h.g.log.Log(events.InstanceChanged).Str("instance", id).Bool("gone", true).
-				Uint64("revision", revision).Send()
+				Uint64("era", at.Era()).Uint64("revision", at.Number()).Send()
 		}
 	}
 	if membersChanged {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/feed"
 	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/quarantine"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 // answeredEvents is the number of events after which an instance has begun to answer
@@ -97,7 +98,7 @@
 type QuarantineRecord struct {
 	Part quarantine.Part
 	// Revision is the revision of the record's last change.
-	Revision uint64
+	Revision revision.Revision
 	// Removed is true if the record was removed from the store.
 	Removed bool
 }
@@ -107,7 +108,7 @@
 	g *Gateway
 	// revisions holds the highest known revision of each record, so that an older removal
 	// does not release a part that was quarantined again.
-	revisions map[quarantine.Part]uint64
+	revisions map[quarantine.Part]revision.Revision
 }
 
 // Replace implements feed.Handler. A part that is missing in a list may not be stored
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -27,6 +27,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/retry"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 const (
@@ -41,7 +42,7 @@
 type PeerRecord struct {
 	Peer
 	// Revision is the revision of the record's last change.
-	Revision uint64
+	Revision revision.Revision
 	// Removed is true if the record was removed from the store.
 	Removed bool
 }
@@ -82,7 +83,7 @@
 	reportNumber uint64
 	// latestChanges holds, for each feed, the revision of the latest change that this
 	// gateway knows, heardChanges the highest one that any gateway reported.
-	latestChanges, heardChanges []uint64
+	latestChanges, heardChanges []revision.Revision
 }
 
 // Listen returns a Reporter that receives reports on a UDP address.
@@ -227,15 +228,15 @@
 
 // SetLatestChange sets the revision of the latest change of a feed that this
 // gateway knows, for later reports.
-func (x *Reporter) SetLatestChange(feed int, revision uint64) {
+func (x *Reporter) SetLatestChange(feed int, latest revision.Revision) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.latestChanges = raise(x.latestChanges, feed, revision)
+	x.latestChanges = raise(x.latestChanges, feed, latest)
 }
 
 // LatestChange returns the highest revision of a change of a feed that any gateway
 // has reported.
-func (x *Reporter) LatestChange(feed int) uint64 {
+func (x *Reporter) LatestChange(feed int) revision.Revision {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if feed >= len(x.heardChanges) {
@@ -248,12 +249,12 @@
 const maxFeeds = 8
 
 // raise returns list with the element at index raised to value.
-func raise(list []uint64, index int, value uint64) []uint64 {
+func raise(list []revision.Revision, index int, value revision.Revision) []revision.Revision {
 	if index >= maxFeeds {
 		return list
 	}
 	if missing := index + 1 - len(list); missing > 0 {
-		list = append(list, make([]uint64, missing)...)
+		list = append(list, make([]revision.Revision, missing)...)
 	}
 	list[index] = max(list[index], value)
 	return list
@@ -372,8 +373,8 @@
 func (x *Reporter) record(m message, from netip.AddrPort, now time.Time) recorded {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for feed, revision := range m.LatestChanges {
-		x.heardChanges = raise(x.heardChanges, feed, revision)
+	for feed, latest := range m.LatestChanges {
+		x.heardChanges = raise(x.heardChanges, feed, latest)
 	}
 	if m.Members == 0 {
 		x.members.recordMember(m, now)
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 const (
@@ -113,14 +115,14 @@
 	registered map[string]Peer
 	// revisions holds the highest known revision of each gateway's record, so that
 	// an older record never replaces a newer one.
-	revisions map[string]uint64
+	revisions map[string]revision.Revision
 	members   map[string]member
 	domains   map[string]*domainState
 }
 
 func newMembership(self Peer, capacity uint32) *membership {
 	return &membership{
-		self: self, capacity: capacity, registered: make(map[string]Peer), revisions: make(map[string]uint64),
+		self: self, capacity: capacity, registered: make(map[string]Peer), revisions: make(map[string]revision.Revision),
 		members: make(map[string]member), domains: make(map[string]*domainState),
 	}
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -9,6 +9,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
 	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/retry"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 const (
@@ -61,7 +62,7 @@
 	First  []string `cbor:"16,keyasint,omitempty"`
 	// LatestChanges holds, for each feed, the revision of the latest change that the
 	// sender knows.
-	LatestChanges []uint64 `cbor:"17,keyasint,omitempty"`
+	LatestChanges []revision.Revision `cbor:"17,keyasint,omitempty"`
 	// Reader is true in the summary of a relay that reads the platform's store.
 	Reader bool `cbor:"19,keyasint,omitempty"`
 	// Limits holds the latest statements of instances that have named a limit.
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/feed"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 // ErrUnavailable means that a gateway can't serve a feed, because it has not read it
@@ -38,16 +39,16 @@
 	keys []string
 	// available is false before the first list and while the source fails.
 	available bool
-	revision  uint64
+	revision  revision.Revision
 	// latestChange is the highest feed.Batch.LatestChange.
-	latestChange uint64
+	latestChange revision.Revision
 	// confirmedAt and relays are those of the batch with the latest confirmation.
 	confirmedAt time.Time
 	relays      int
 	// log holds the recent changes, oldest first. Changes up to logStart are not in
 	// it.
 	log      []logEntry[R]
-	logStart uint64
+	logStart revision.Revision
 	// changed is closed at each list, watch or failure of the source.
 	changed chan struct{}
 }
@@ -55,7 +56,7 @@
 // logEntry holds the records of one batch and the revision after it.
 type logEntry[R any] struct {
 	records  []R
-	revision uint64
+	revision revision.Revision
 }
 
 // NewCache returns an empty cache that passes what it receives on to next.
@@ -159,7 +160,7 @@
 // Watch waits for changes after a revision, for at most wait. It also returns, without
 // changes, when the store has confirmed the revision at a later time than confirmedAt.
 func (c *Cache[R]) Watch(
-	ctx context.Context, after uint64, confirmedAt time.Time, wait time.Duration,
+	ctx context.Context, after revision.Revision, confirmedAt time.Time, wait time.Duration,
 ) (feed.Batch[R], error) {
 	b, changed, err := c.changesAfter(after)
 	if err != nil || len(b.Records) > 0 || b.ConfirmedAt.After(confirmedAt) {
@@ -179,7 +180,7 @@
 
 // changesAfter returns the changes after a revision, possibly with changes before it,
 // and the channel that is closed at the next change.
-func (c *Cache[R]) changesAfter(after uint64) (feed.Batch[R], <-chan struct{}, error) {
+func (c *Cache[R]) changesAfter(after revision.Revision) (feed.Batch[R], <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.available {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/nutmegroute/nutmegroute/internal/feed"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 // Peer is a gateway that serves its feeds.
@@ -39,7 +40,7 @@
 	return c.call(ctx, p, request{Feed: c.feed})
 }
 
-func (c *client[R]) watch(ctx context.Context, p Peer, after uint64, wait time.Duration) (feed.Batch[R], error) {
+func (c *client[R]) watch(ctx context.Context, p Peer, after revision.Revision, wait time.Duration) (feed.Batch[R], error) {
 	return c.call(ctx, p, request{Feed: c.feed, Watch: true, After: after, WaitMS: uint32(wait.Milliseconds())})
 }
 
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/feed"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 // Path is the HTTP path under which a gateway serves its feeds over WebSocket. Each
@@ -29,9 +30,9 @@
 	Feed string `cbor:"1,keyasint"`
 	// Watch asks for the changes after the revision After. The response waits for a
 	// change, at most for WaitMS. Otherwise all records are asked for.
-	Watch  bool   `cbor:"2,keyasint,omitempty"`
-	After  uint64 `cbor:"3,keyasint,omitempty"`
-	WaitMS uint32 `cbor:"4,keyasint,omitempty"`
+	Watch  bool              `cbor:"2,keyasint,omitempty"`
+	After  revision.Revision `cbor:"3,keyasint,omitempty"`
+	WaitMS uint32            `cbor:"4,keyasint,omitempty"`
 }
 
 // responseError says why a response holds no records.
@@ -47,10 +48,10 @@
 
 // response holds the records of a feed.
 type response[R any] struct {
-	Error        responseError `cbor:"1,keyasint,omitempty"`
-	Records      []R           `cbor:"2,keyasint,omitempty"`
-	Revision     uint64        `cbor:"3,keyasint,omitempty"`
-	LatestChange uint64        `cbor:"4,keyasint,omitempty"`
+	Error        responseError     `cbor:"1,keyasint,omitempty"`
+	Records      []R               `cbor:"2,keyasint,omitempty"`
+	Revision     revision.Revision `cbor:"3,keyasint,omitempty"`
+	LatestChange revision.Revision `cbor:"4,keyasint,omitempty"`
 	// AgeMS is the time since the store confirmed Revision, rounded up.
 	AgeMS uint32 `cbor:"5,keyasint,omitempty"`
 	// Relays is feed.Batch.Relays of the sender.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/nutmegroute/nutmegroute/internal/feed"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 const (
@@ -55,16 +56,16 @@
 	return s.calls
 }
 
-func (s *fakeStore) after(revision uint64) (feed.Batch[string], <-chan struct{}, bool, error) {
+func (s *fakeStore) after(known revision.Revision) (feed.Batch[string], <-chan struct{}, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return feed.Batch[string]{}, s.notified, s.hanging, errStoreDown
 	}
-	latest := uint64(len(s.values))
+	latest := revision.Revision(len(s.values))
 	b := feed.Batch[string]{Revision: latest, LatestChange: latest, ConfirmedAt: time.Now()}
-	if revision < latest {
-		b.Records = append(b.Records, s.values[revision:]...)
+	if known < latest {
+		b.Records = append(b.Records, s.values[known:]...)
 	}
 	return b, s.notified, s.hanging, nil
 }
@@ -81,7 +82,7 @@
 	return b, err
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Batch[string], error) {
+func (s *fakeStore) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (feed.Batch[string], error) {
 	s.countCall()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -151,7 +152,7 @@
 type testGuide struct {
 	mu     sync.Mutex
 	peers  []Peer
-	latest uint64
+	latest revision.Revision
 }
 
 func (g *testGuide) Peers(time.Time) []Peer {
@@ -160,7 +161,7 @@
 	return g.peers
 }
 
-func (g *testGuide) LatestChange() uint64 {
+func (g *testGuide) LatestChange() revision.Revision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.latest
@@ -170,7 +171,7 @@
 
 func (g *testGuide) SourceChanged(string, error) {}
 
-func (g *testGuide) set(latest uint64, peers ...Peer) {
+func (g *testGuide) set(latest revision.Revision, peers ...Peer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.latest, g.peers = latest, peers
@@ -283,7 +284,7 @@
 	source.guide = &testGuide{peers: []Peer{reader.peer}}
 	b, err = source.List(t.Context())
 	assert.NilError(t, err)
-	assert.Equal(t, b.Revision, uint64(2))
+	assert.Equal(t, b.Revision, revision.Revision(2))
 	assert.Equal(t, len(b.Records), 2)
 }
 
@@ -298,7 +299,7 @@
 		(&net.Dialer{}).DialContext)
 	b, err := source.List(t.Context())
 	assert.NilError(t, err)
-	assert.Equal(t, b.Revision, uint64(2))
+	assert.Equal(t, b.Revision, revision.Revision(2))
 }
 
 // Guards against records whose age is lost on the way: two gateways that read from
@@ -324,14 +325,14 @@
 	c.Replace(feed.Batch[string]{Records: []string{"a"}, Revision: 10}, false)
 	_, err = c.Watch(t.Context(), 9, time.Time{}, time.Second)
 	assert.ErrorIs(t, err, feed.ErrHistoryExpired)
-	for revision := uint64(11); revision < 12+maxLogEntries; revision++ {
-		c.Update(feed.Batch[string]{Records: []string{"b"}, Revision: revision})
+	for r := revision.Revision(11); r < 12+maxLogEntries; r++ {
+		c.Update(feed.Batch[string]{Records: []string{"b"}, Revision: r})
 	}
 	_, err = c.Watch(t.Context(), 10, time.Time{}, time.Second)
 	assert.ErrorIs(t, err, feed.ErrHistoryExpired)
 	b, err := c.Watch(t.Context(), 11, time.Time{}, time.Second)
 	assert.NilError(t, err)
-	assert.Equal(t, b.Revision, uint64(11+maxLogEntries))
+	assert.Equal(t, b.Revision, revision.Revision(11+maxLogEntries))
 }
 
 // Guards against a confirmation that arrives between two watches and is delivered only
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmegroute/nutmegroute/internal/feed"
 	"github.com/nutmegroute/nutmegroute/internal/process"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 const (
@@ -46,7 +47,7 @@
 	Settled(now time.Time) bool
 	// LatestChange returns the highest revision of a change of the feed that any
 	// gateway has reported.
-	LatestChange() uint64
+	LatestChange() revision.Revision
 	// SourceChanged is called when the feed is read from another source than before:
 	// a peer, or "" for the store. err says why the previous source was given up, if
 	// it failed.
@@ -64,11 +65,11 @@
 	// avoidUntil holds until when peers that failed are not used, by name.
 	avoidUntil map[string]time.Time
 	// highest is the highest revision that a call returned.
-	highest uint64
+	highest revision.Revision
 	// catchUp makes the next watch ask the store without waiting.
 	catchUp bool
 	// checked is the latest change of which the store was asked.
-	checked uint64
+	checked revision.Revision
 	// started is true after the first call, current the peer that is read from or ""
 	// for the store, lastErr why the previous source failed.
 	started bool
@@ -111,7 +112,7 @@
 }
 
 // Watch implements feed.Source.
-func (s *Source[R]) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Batch[R], error) {
+func (s *Source[R]) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (feed.Batch[R], error) {
 	now := time.Now()
 	if !s.guide.Settled(now) {
 		process.Sleep(ctx, checkInterval)
@@ -133,7 +134,7 @@
 
 // watchPeer watches a peer. If it fails, the next watch asks the store; until then
 // nothing is confirmed.
-func (s *Source[R]) watchPeer(ctx context.Context, p Peer, after uint64, wait time.Duration) (feed.Batch[R], error) {
+func (s *Source[R]) watchPeer(ctx context.Context, p Peer, after revision.Revision, wait time.Duration) (feed.Batch[R], error) {
 	watchCtx, stop := s.cancelWhenUseless(ctx, after, func(now time.Time) bool {
 		return slices.Contains(s.guide.Peers(now), p)
 	})
@@ -157,7 +158,7 @@
 
 // watchStore watches the store. A watch that does not return a change which other
 // gateways know is repeated.
-func (s *Source[R]) watchStore(ctx context.Context, after uint64, wait time.Duration) (feed.Batch[R], error) {
+func (s *Source[R]) watchStore(ctx context.Context, after revision.Revision, wait time.Duration) (feed.Batch[R], error) {
 	watchCtx, stop := s.cancelWhenUseless(ctx, after, func(time.Time) bool { return true })
 	defer stop()
 	b, err := s.store.Watch(watchCtx, after, wait)
@@ -173,7 +174,7 @@
 // cancelWhenUseless returns a context that ends when usable returns false, or when
 // another gateway has known a change after the revision for maxBehind.
 func (s *Source[R]) cancelWhenUseless(
-	ctx context.Context, after uint64, usable func(now time.Time) bool,
+	ctx context.Context, after revision.Revision, usable func(now time.Time) bool,
 ) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	checked := s.checked
