feed: The first list after a restore counts as one after an outage

Cause: a restore shorter than a second did not count as an outage, so that the first list removed all instances that the copy lacks, although they write again within two seconds. Requests were refused with "no instance". Change: a list in a newer era than the list before is marked as one after an outage; fleet keeps missing instances for 2 s, counted anew after a second outage. A feed never continues a watch in another era.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -48,7 +48,8 @@
 // goroutine.
 type Handler[R any] interface {
 	// Replace receives a complete list. afterOutage is true if the list follows
-	// an outage of the store.
+	// an outage of the store, or its restore from a copy: both lose records whose
+	// writers write them again.
 	Replace(b Batch[R], afterOutage bool)
 	// Update receives changes, possibly none.
 	Update(b Batch[R])
@@ -89,6 +90,9 @@
 	options Options
 
 	revision revision.Revision
+	// listed is true after the first list, era the highest era that was listed.
+	listed bool
+	era    uint64
 	// failing is true from a failure until the next successful list;
 	// failingSince is when it began.
 	failing      bool
@@ -126,9 +130,9 @@
 	if err != nil {
 		return err
 	}
-	outage := f.failing && time.Since(f.failingSince) > minOutage
+	outage := f.failing && time.Since(f.failingSince) > minOutage || f.listed && b.Revision.Era() > f.era
 	f.recordSuccess()
-	f.revision = b.Revision
+	f.revision, f.listed, f.era = b.Revision, true, max(f.era, b.Revision.Era())
 	f.handler.Replace(b, outage)
 	return nil
 }
@@ -150,6 +154,10 @@
 		f.revision = 0
 		return nil
 	}
+	if b.Revision.Era() > f.revision.Era() {
+		f.revision = 0 // changes before b are missing
+		return nil
+	}
 	f.revision = max(f.revision, b.Revision)
 	f.handler.Update(b)
 	if len(b.Records) > 0 {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -61,7 +61,7 @@
 		case historyExpired:
 			return Batch[string]{}, ErrHistoryExpired
 		case rev > after:
-			return Batch[string]{Records: records[after:], Revision: rev}, nil
+			return Batch[string]{Records: records[min(after.Number(), uint64(len(records))):], Revision: rev}, nil
 		case time.Now().After(end):
 			return Batch[string]{Revision: rev}, nil
 		}
@@ -160,3 +160,23 @@
 	assert.Equal(t, h.failures, 1)
 	assert.Equal(t, h.recoveries, 1)
 }
+
+// Guards against records that are treated as removed because the store was restored from a copy
+// without them, in a time too short to count as an outage, and against a watch that continues
+// in another era without a list.
+func TestFeedMarksRestores(t *testing.T) {
+	s, h := &fakeStore{}, &recordingHandler{}
+	s.add("a")
+	s.add("b")
+	stop := startFeed(s, h, 50*time.Millisecond)
+	poll.WaitOn(t, h.hasRecords("a", "b"), poll.WithTimeout(pollTimeout))
+	s.update(func(s *fakeStore) { s.records, s.rev = []string{"c"}, revision.New(1, 1) })
+	poll.WaitOn(t, h.hasRecords("c"), poll.WithTimeout(pollTimeout))
+	s.update(func(s *fakeStore) {
+		s.historyExpired, s.records, s.rev = true, []string{"d"}, revision.New(1, 2)
+	})
+	poll.WaitOn(t, h.hasRecords("d"), poll.WithTimeout(pollTimeout))
+	stop()
+	assert.Equal(t, h.outageLists, 1)
+	assert.Equal(t, h.failures, 0)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -143,6 +143,7 @@
 	defer d.mu.Unlock()
 	if afterOutage {
 		d.storeRecoveredAt = now
+		clear(d.removeAt) // instances have the whole time again after a second outage
 	}
 	listed := make(map[string]bool, len(records))
 	next := maps.Clone(d.view.Load().Instances)
