lease: One holder at a time also when the store is restored

Cause: a restore loses the lease while its holder uses it. Another process found no lease, or its own former one in the copy, and took it at once; a version that was given out again looked unchanged and so expired; fencing tokens fell. Change: versions are revisions with the era first, so that tokens grow. A Holder that learns of a newer era, from a read, a write or ObserveEra, no longer holds; one that held may write the lease at once, since nobody else can have held it, and any other waits for the duration and a tenth. Its own id in the copy does not count unless it has written in the present era. A write that was made in a former era, or that arrived in a newer one without a lease in hand, does not make it a holder. A renewal that finds no lease reads it, as after a conflict. Ruled out: a wait also for a process that has just started: it can't tell a restore from a first start, which would place layers later. It may hold the lease beside a holder that has not yet noticed the restore, for a renewal at most.

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -55,6 +55,14 @@
 	// of the version doesn't show when it was written, and a delayed release may
 	// still replace it.
 	usedVersion uint64
+	// era is the highest known era of the store, eraKnown is false before the first
+	// answer. eraSince is when the latest rise was learned, or zero.
+	era      uint64
+	eraKnown bool
+	eraSince time.Time
+	// claimUntil is when the lease expires that this Holder held when the era rose, or
+	// zero. The store may have lost the lease, but no other process holds it.
+	claimUntil time.Time
 }
 
 // NewHolder returns a Holder for the lease of group. owner is the id of the
@@ -127,39 +135,45 @@
 		return h.renew(ctx, fencing)
 	}
 	rec, version, err := h.read(ctx)
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	if rec.HolderID == h.opts.HolderID {
+	case h.claims():
+	case h.wrote(rec):
 		h.confirmHeld(version)
-	} else if h.invalidate(); !h.canAcquire(rec, version) {
-		return ErrHeld
+	default:
+		h.invalidate()
+		if !h.canAcquire(rec, version) {
+			return ErrHeld
+		}
 	}
 	return h.acquire(ctx, version)
 }
 
 // renew renews a lease that is held. If the outcome of an earlier write is
-// unknown, or if the write conflicts, it reads the lease and writes with the
-// version that it read.
+// unknown, or if the write conflicts or finds no lease, it reads the lease and writes
+// with the version that it read.
 func (h *Holder) renew(ctx context.Context, version uint64) error {
 	h.mu.Lock()
 	uncertain := !h.unresolvedSince.IsZero()
 	h.mu.Unlock()
 	if !uncertain {
 		err := h.acquire(ctx, version)
-		if !errors.Is(err, ErrConflict) {
+		if !errors.Is(err, ErrConflict) && !errors.Is(err, ErrNotFound) {
 			return err
 		}
 	}
 	rec, current, err := h.read(ctx)
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	if rec.HolderID != h.opts.HolderID {
+	case h.claims():
+	case h.wrote(rec):
+		h.confirmHeld(current)
+	default:
 		h.invalidate()
 		return ErrHeld
 	}
-	h.confirmHeld(current)
 	return h.acquire(ctx, current)
 }
 
@@ -191,6 +205,9 @@
 	ctx, cancel := context.WithTimeout(ctx, h.opts.StoreTimeout)
 	defer cancel()
 	value, version, err := h.store.Get(ctx, h.key)
+	if err == nil || errors.Is(err, ErrNotFound) {
+		h.ObserveEra(eraOf(version))
+	}
 	if errors.Is(err, ErrNotFound) {
 		return record{}, 0, nil
 	}
@@ -225,13 +242,26 @@
 // the duration from a later time, at which they read the lease.
 func (h *Holder) acquire(ctx context.Context, version uint64) error {
 	sent := h.opts.Now()
+	h.mu.Lock()
+	held := sent.Before(h.validUntil) || sent.Before(h.claimUntil)
+	h.mu.Unlock()
 	written, err := h.write(ctx, h.encodedRecord, version)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
+	case err == nil && eraOf(written) < h.era:
+		// The store was restored after the write, which may be lost.
+		h.claimUntil = sent.Add(h.opts.Duration)
+		return ErrConflict
+	case err == nil && eraOf(written) > h.era && !held:
+		// The store was restored after the read. The holder of the former era may still
+		// use the lease.
+		h.learnEra(eraOf(written))
+		return ErrConflict
 	case err == nil:
+		h.learnEra(eraOf(written))
 		h.fencing, h.validUntil, h.unresolvedSince = written, sent.Add(h.opts.Duration), time.Time{}
-		h.usedVersion = written
+		h.usedVersion, h.claimUntil = written, time.Time{}
 	case errors.Is(err, ErrConflict), errors.Is(err, ErrNotFound), errors.Is(err, ErrUnavailable):
 		// The write was not applied.
 	case h.unresolvedSince.IsZero():
@@ -258,13 +288,55 @@
 func (h *Holder) invalidate() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.fencing, h.validUntil = 0, time.Time{}
+	h.fencing, h.validUntil, h.claimUntil = 0, time.Time{}, time.Time{}
+}
+
+// ObserveEra records an era of the store. If it is newer than the known one, Check fails
+// until the lease is written in that era. A Holder that held the lease may do so at once;
+// others wait until that lease has expired.
+func (h *Holder) ObserveEra(era uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.learnEra(era)
+}
+
+// learnEra does the work of ObserveEra. The caller holds mu.
+func (h *Holder) learnEra(era uint64) {
+	if h.eraKnown && era <= h.era {
+		return
+	}
+	if h.eraKnown {
+		h.eraSince = h.opts.Now()
+		if h.validUntil.After(h.claimUntil) {
+			h.claimUntil = h.validUntil
+		}
+		h.fencing, h.validUntil, h.unresolvedSince = 0, time.Time{}, time.Time{}
+	}
+	h.era, h.eraKnown = era, true
+}
+
+// claims reports whether this Holder held the lease when the store was restored, and the
+// lease has not expired since.
+func (h *Holder) claims() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.opts.Now().Before(h.claimUntil)
+}
+
+// wrote reports whether a stored lease was written by this Holder in the present era. In the
+// copy from which a store was restored, this Holder's lease may be one that another process
+// has taken over since.
+func (h *Holder) wrote(rec record) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return rec.HolderID == h.opts.HolderID && (eraOf(h.usedVersion) == h.era || !h.unresolvedSince.IsZero())
 }
 
 // canAcquire reports whether the lease is absent, released or expired. It is
 // expired if its version hasn't changed for its duration by the clock of this
 // process. A tenth of the duration is added, because clocks may run at different
-// rates.
+// rates. After a restore of the store, the lease can't be acquired for the same time,
+// because its holder may use it although the store has lost it.
 func (h *Holder) canAcquire(rec record, version uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -272,5 +344,8 @@
 	if version != h.observedVersion {
 		h.observedVersion, h.observedAt = version, now
 	}
+	if !h.eraSince.IsZero() && now.Sub(h.eraSince) < max(rec.duration(), h.opts.Duration)*11/10 {
+		return false
+	}
 	return rec.HolderID == "" || now.Sub(h.observedAt) >= rec.duration()*11/10
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 const (
@@ -50,11 +52,12 @@
 )
 
 // Store holds leases. Versions are greater than 0 and grow with every write of
-// an object. Implementations end a call when ctx ends. Any error of a write
+// an object. A version is a revision.Revision: a store that may be restored from a copy
+// puts its era first, so that versions grow also then. Implementations end a call when ctx ends. Any error of a write
 // other than ErrConflict, ErrNotFound and ErrUnavailable counts as
 // ErrOutcomeUnknown.
 type Store interface {
-	// Get returns ErrNotFound if there is no object.
+	// Get returns ErrNotFound if there is no object. The version then holds the era alone.
 	Get(ctx context.Context, key string) (value []byte, version uint64, err error)
 	// Create returns ErrConflict if the object exists.
 	Create(ctx context.Context, key string, value []byte) (version uint64, err error)
@@ -62,6 +65,9 @@
 	Update(ctx context.Context, key string, value []byte, version uint64) (newVersion uint64, err error)
 }
 
+// eraOf returns the era of the store in a version.
+func eraOf(version uint64) uint64 { return revision.Revision(version).Era() }
+
 // record is the stored value. A released lease has an empty HolderID.
 type record struct {
 	// Owner is the instance id of the holder, as information for operators.
