gateway: Log a restore of the store and end the lease of the former era

Cause: only a call about the lease told its holder of a new era, up to 0.7 s after the feeds had read it; operators saw nothing of a restore. Change: a gateway learns of a newer era from any feed, read from the store or from a relay.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -61,6 +61,10 @@
 	InstanceLimit = define(1824, "instance-limit", zerolog.InfoLevel,
 		"An instance named another limit of the requests a second that it takes from all gateways together, or named none any "+
 			"more (unlimited).", "If it lasts, check the instance: it is in need.")
+	StoreRestored = define(1825, "store-restored", zerolog.WarnLevel,
+		"The platform's store was restored from an older copy: its era rose. What was written since the copy is lost until its "+
+			"writers write it again; the gateway keeps the configuration and the leavings of instances that it knows.",
+		"None if the restore was planned; otherwise check the store.")
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -152,8 +152,10 @@
 	f.g.log.Log(events.FeedSourceChanged).Str("feed", feedNames[f.index]).Str("relay", peer).Err(err).Send()
 }
 
-// reportChange makes the latest change of a feed known to the other gateways.
+// reportChange makes the latest change of a feed known to the other gateways, and its era
+// to this one.
 func (g *Gateway) reportChange(feedIndex int, latest revision.Revision) {
+	g.observeEra(latest.Era())
 	if r := g.reporter.Load(); r != nil {
 		r.SetLatestChange(feedIndex, latest)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,7 +81,7 @@
 	// none has begun.
 	drainDeadline atomic.Int64
 
-	// mu guards configConfirmedAt, firstInstanceAt, membersChangedAt,
+	// mu guards configConfirmedAt, firstInstanceAt, membersChangedAt, era, eraKnown,
 	// instancesSynced, configSynced and quarantinesSynced.
 	mu sync.Mutex
 	// configConfirmedAt is when the store last confirmed the configuration.
@@ -89,6 +89,10 @@
 	// firstInstanceAt is when the first instance was added, membersChangedAt
 	// when an instance was last added or removed.
 	firstInstanceAt, membersChangedAt time.Time
+	// era is the highest era of the store in which a feed was read, eraKnown is false
+	// before the first list.
+	era      uint64
+	eraKnown bool
 	// instancesSynced, configSynced and quarantinesSynced are true once the gateway has
 	// received the list of instances, a configuration and the quarantined parts.
 	instancesSynced   bool
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -72,6 +72,8 @@
 
 func (l *leaseWithUnreachableStore) HeldByOther() bool { return false }
 
+func (l *leaseWithUnreachableStore) ObserveEra(uint64) {}
+
 // Guards against a placement without a leader: when the lease holder was lost
 // while the store was not responding, no gateway placed layers for 11 s
 // (deployment sawt-muscat, day trouble-3 of the users' test bench, seed 13). Also
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -54,6 +54,9 @@
 	// HeldByOther reports whether the latest answer of the store named another
 	// holder.
 	HeldByOther() bool
+	// ObserveEra tells that the store was restored from a copy. The lease is not held until
+	// it is written in that era.
+	ObserveEra(era uint64)
 }
 
 // placer orders instances to hold layers while this gateway leads the
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -138,7 +138,7 @@
 	switch {
 	case err != nil:
 		return err
-	case h.claims():
+	case h.Claims():
 	case h.wrote(rec):
 		h.confirmHeld(version)
 	default:
@@ -167,7 +167,7 @@
 	switch {
 	case err != nil:
 		return err
-	case h.claims():
+	case h.Claims():
 	case h.wrote(rec):
 		h.confirmHeld(current)
 	default:
@@ -315,9 +315,9 @@
 	h.era, h.eraKnown = era, true
 }
 
-// claims reports whether this Holder held the lease when the store was restored, and the
+// Claims reports whether this Holder held the lease when the store was restored, and the
 // lease has not expired since.
-func (h *Holder) claims() bool {
+func (h *Holder) Claims() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.opts.Now().Before(h.claimUntil)
