gateway: Register again when the store has lost the registration

Cause: a gateway registered once, at its start. After a restore from an older copy a gateway that starts finds none of the others and sends them no reports. Feeds that wait 20 s for changes also noticed a restore that late, if the store does not cut waiting watches. Change: a gateway that lacks itself in the first list after an outage or a restore registers again, after a random delay of up to 1 s. The first feed that reads a new era counts for the others as a change that they lack, so that they list within 0.4 s. The stand-in can leave waiting watches.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -138,13 +138,16 @@
 	return r == nil || f.index == gatewayFeed || now.Sub(f.g.startedAt) > peerSettleTime || r.FeedSourcesKnown(now)
 }
 
-// LatestChange implements relay.Guide.
+// LatestChange implements relay.Guide. When one feed has read a new era, watches of the
+// others from a former one are given up, which the store may leave waiting.
 func (f *feedGuide) LatestChange() revision.Revision {
-	r := f.g.reporter.Load()
-	if r == nil {
-		return 0
+	f.g.mu.Lock()
+	latest := revision.New(f.g.era, 0)
+	f.g.mu.Unlock()
+	if r := f.g.reporter.Load(); r != nil {
+		latest = max(latest, r.LatestChange(f.index))
 	}
-	return r.LatestChange(f.index)
+	return latest
 }
 
 // SourceChanged implements relay.Guide.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,10 @@
 	// reporter is nil until the gateway has joined its peers, and always nil if
 	// no peer port is set.
 	reporter atomic.Pointer[gossip.Reporter]
+	// self is the record of this gateway. It is set before the feeds start. reregister
+	// receives an element when the store lacks it.
+	self       gossip.Peer
+	reregister chan struct{}
 
 	// startedAt is when the process started.
 	startedAt time.Time
@@ -122,6 +126,7 @@
 		idleConns:  newIdleConnections(),
 		streams:    newActiveStreams(),
 		synced:     make(chan struct{}),
+		reregister: make(chan struct{}, 1),
 		startedAt:  time.Now(),
 	}
 	limits := retry.Limits{Ratio: s.RetryRatio, Window: s.RetryWindow, Reserve: s.RetryReserve}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +22,9 @@
 	// pause between two attempts.
 	registerTimeout  = time.Second
 	registerInterval = time.Second
+	// registerSpread bounds the random delay of a registration after the store has lost
+	// it. All gateways notice that at the same time.
+	registerSpread = time.Second
 )
 
 // joinPeers starts exchanging state with the other gateways and registers this
@@ -43,8 +48,9 @@
 	}
 	g.reporter.Store(reporter)
 	group.Go(func() error { return reporter.Run(ctx) })
+	g.self = gossip.Peer{Name: options.Name, Address: self, Domain: options.Domain}
 	group.Go(func() error {
-		g.register(ctx, gossip.Peer{Name: options.Name, Address: self, Domain: options.Domain})
+		g.keepRegistered(ctx)
 		return nil
 	})
 	return nil
@@ -85,14 +91,27 @@
 	return g.draining() && r != nil && r.ActivePeerCount(time.Now()) > 0
 }
 
+// keepRegistered adds this gateway to the platform's list of gateways, and again whenever
+// the store has lost it, until ctx ends.
+func (g *Gateway) keepRegistered(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.register(ctx)
+		select {
+		case <-ctx.Done():
+		case <-g.reregister:
+			process.Sleep(ctx, rand.N(registerSpread))
+		}
+	}
+}
+
 // register adds this gateway to the platform's list of gateways. It retries
 // until that succeeds or ctx ends.
-func (g *Gateway) register(ctx context.Context, self gossip.Peer) {
+func (g *Gateway) register(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := func() error {
 			ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 			defer cancel()
-			return g.platform.Gateways.Register(ctx, self)
+			return g.platform.Gateways.Register(ctx, g.self)
 		}()
 		if err == nil {
 			return
@@ -105,8 +124,19 @@
 // peerHandler passes the records of gateways to the reporter.
 type peerHandler struct{ g *Gateway }
 
-// Replace implements feed.Handler.
-func (h *peerHandler) Replace(b feed.Batch[gossip.PeerRecord], _ bool) { h.Update(b) }
+// Replace implements feed.Handler. After an outage or a restore, the store may lack this
+// gateway.
+func (h *peerHandler) Replace(b feed.Batch[gossip.PeerRecord], afterOutage bool) {
+	h.Update(b)
+	listed := slices.ContainsFunc(b.Records, func(r gossip.PeerRecord) bool { return r.Peer == h.g.self })
+	if !afterOutage || listed {
+		return
+	}
+	select {
+	case h.g.reregister <- struct{}{}:
+	default: // not yet registered again since the list before
+	}
+}
 
 // Update implements feed.Handler.
 func (h *peerHandler) Update(b feed.Batch[gossip.PeerRecord]) {
