quarantine: Save again what a restore of the store lost

Cause: a quarantined part counted as stored for good. After a restore from a copy without it, a restart of all gateways would have forgotten it; a part that was released longer than a minute ago would have come back with the copy. Change: at a restore all decisions count as not stored until the list shows them. In TestReleaseByAnOperator the call of Outdated has the two new arguments; what it checks is unchanged.

--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/nutmegroute/nutmegroute/internal/events"
+import (
+	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/events"
+)
 
 // observeEra records the store's era in which a feed was read. If it rises, the store was
 // restored from a copy and may lack what gateways wrote.
@@ -14,4 +18,5 @@
 	}
 	g.log.Log(events.StoreRestored).Uint64("era", era).Uint64("former", former).Send()
 	g.platform.Lease.ObserveEra(era)
+	g.quarantine.StoreRestored(time.Now())
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -204,7 +204,7 @@
 }
 
 // storeQuarantines writes the decisions of at least minAge that the store lacks, and
-// removes those that this gateway ended. What fails is tried again.
+// removes those that this gateway ended or that a restore brought back. What fails is tried again.
 func (g *Gateway) storeQuarantines(ctx context.Context, minAge time.Duration, now time.Time) {
 	write := func(part quarantine.Part, stored bool, call func(context.Context, quarantine.Part) error) {
 		ctx, cancel := context.WithTimeout(ctx, quarantineStoreTimeout)
@@ -219,7 +219,7 @@
 	for _, part := range g.quarantine.Unstored(minAge, now) {
 		write(part, true, g.platform.Quarantines.Save)
 	}
-	for _, part := range g.quarantine.Outdated() {
+	for _, part := range g.quarantine.Outdated(minAge, now) {
 		write(part, false, g.platform.Quarantines.Remove)
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -33,6 +33,8 @@
 	// ends holds the ends of instances under requests that waited for their answers.
 	ends    []end
 	changes []Change
+	// restoredAt is when the platform's store was last restored from a copy, or zero.
+	restoredAt time.Time
 }
 
 // decision says whether requests with a part are refused.
@@ -46,7 +48,7 @@
 	// usedAt is when a request with the part was last refused, or at.
 	usedAt time.Time
 	// stored is true if the platform's store holds a quarantine, or may still hold one
-	// that this gateway released.
+	// that was released.
 	stored bool
 	// timesReported is the number of reports that held the decision.
 	timesReported int
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -157,7 +157,7 @@
 	exchange(9100)
 	exchange(9300)
 	assert.Equal(t, len(a.List())+len(b.List()), 0)
-	assert.DeepEqual(t, a.Outdated(), []Part{"bad"})
+	assert.DeepEqual(t, a.Outdated(0, at(9400)), []Part{"bad"})
 	crashes(3, 10_000, 100, "bad")(b)
 	exchange(11_000)
 	others(11_500)(a)
@@ -179,3 +179,30 @@
 	_, refused = r.Check([]Part{"bad"}, at(21))
 	assert.Assert(t, !refused)
 }
+
+// Guards against decisions that the store lacks after a restore from a copy, against parts
+// that the copy quarantines again after their release, and against all gateways writing at once.
+func TestStoreRestored(t *testing.T) {
+	const minAge = 5 * time.Second
+	r := NewRegister()
+	r.AddStored("lost", at(0))
+	r.AddStored("kept", at(0))
+	r.AddStored("released", at(0))
+	assert.Assert(t, r.Release("released", at(1000)))
+	r.MarkStored("released", false)
+	r.StoreRestored(at(100_000))
+	r.AddStored("kept", at(100_000))
+	r.AddStored("released", at(100_000))
+	_, refused := r.Check([]Part{"released"}, at(100_001))
+	assert.Assert(t, !refused)
+	assert.Equal(t, len(r.Unstored(minAge, at(104_000)))+len(r.Outdated(minAge, at(104_000))), 0)
+	assert.DeepEqual(t, r.Unstored(0, at(104_000)), []Part{"lost"})
+	assert.DeepEqual(t, r.Unstored(minAge, at(105_000)), []Part{"lost"})
+	assert.DeepEqual(t, r.Outdated(minAge, at(105_000)), []Part{"released"})
+	r.RemoveStored("released", at(105_000)) // another gateway removed it
+	assert.Equal(t, len(r.Outdated(0, at(105_000))), 0)
+	_, refused = r.Check([]Part{"lost"}, at(105_000))
+	assert.Assert(t, refused)
+	assert.Assert(t, r.Release("kept", at(106_000)))
+	assert.DeepEqual(t, r.Outdated(minAge, at(106_000)), []Part{"kept"})
+}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -160,10 +160,24 @@
 	defer r.mu.Unlock()
 	known := r.decisions[part]
 	switch {
-	case known == nil || !known.quarantined && now.Sub(known.at) > releaseHoldTime:
+	case known == nil:
 		r.decide(part, decision{quarantined: true, at: now, stored: true}, FromStore)
-	case known.quarantined:
+	case known.quarantined, known.at.Before(r.restoredAt) && now.Sub(r.restoredAt) <= releaseHoldTime:
+		// A copy from which the store was restored may be older than the release.
 		known.stored = true
+	case now.Sub(known.at) > releaseHoldTime:
+		r.decide(part, decision{quarantined: true, at: now, stored: true}, FromStore)
+	}
+}
+
+// StoreRestored records that the platform's store was restored from a copy. It holds only the
+// quarantines that AddStored reports since.
+func (r *Register) StoreRestored(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restoredAt = now
+	for _, d := range r.decisions {
+		d.stored = false
 	}
 }
 
@@ -171,33 +185,39 @@
 func (r *Register) RemoveStored(part Part, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if d := r.decisions[part]; d != nil && d.quarantined && d.stored {
+	switch d := r.decisions[part]; {
+	case d == nil:
+	case !d.quarantined:
+		d.stored = false
+	case d.stored:
 		r.decide(part, decision{at: now}, FromStore)
 	}
 }
 
 // Unstored returns the quarantined parts that were decided minAge ago or earlier and that
-// the platform's store is not known to hold.
+// the platform's store is not known to hold. A restore of the store counts as a decision, so
+// that not all gateways write at the same time.
 func (r *Register) Unstored(minAge time.Duration, now time.Time) []Part {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []Part
 	for part, d := range r.decisions {
-		if d.quarantined && !d.stored && now.Sub(d.at) >= minAge {
+		if d.quarantined && !d.stored && now.Sub(d.at) >= minAge && now.Sub(r.restoredAt) >= minAge {
 			list = append(list, part)
 		}
 	}
 	return list
 }
 
-// Outdated returns the parts that this gateway released and whose quarantine the
-// platform's store may still hold.
-func (r *Register) Outdated() []Part {
+// Outdated returns the released parts whose quarantine the platform's store may still hold:
+// those that this gateway released, and minAge after a restore of the store those that it holds
+// again.
+func (r *Register) Outdated(minAge time.Duration, now time.Time) []Part {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []Part
 	for part, d := range r.decisions {
-		if !d.quarantined && d.stored {
+		if !d.quarantined && d.stored && (!d.at.Before(r.restoredAt) || now.Sub(r.restoredAt) >= minAge) {
 			list = append(list, part)
 		}
 	}
