--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -75,6 +75,10 @@
 	SuccessorFailed = define(1844, "successor-failed", zerolog.InfoLevel,
 		"Another instance could not take over a request whose instance is silent; the request goes on waiting for the first.",
 		noAction)
+	StoreRestored = define(1825, "store-restored", zerolog.WarnLevel,
+		"The platform's store was restored from an older copy: its era rose. What was written since the copy is lost until its "+
+			"writers write it again; the gateway keeps the configuration and the leavings of instances that it knows.",
+		"None if the restore was planned; otherwise check the store.")
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/process"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 // ErrHistoryExpired is returned by a watch that starts at a revision which the
@@ -21,9 +22,10 @@
 	Records []R
 	// Revision is the revision of the store up to which the caller now knows all
 	// changes.
-	Revision uint64
-	// LatestChange is the highest revision of a record in the batch.
-	LatestChange uint64
+	Revision revision.Revision
+	// LatestChange is the highest revision of a record in the batch, or the start of the
+	// store's era.
+	LatestChange revision.Revision
 	// ConfirmedAt is a time at which the store had no change after Revision. It is
 	// zero if the source could not confirm that.
 	ConfirmedAt time.Time
@@ -39,14 +41,15 @@
 	// Watch waits for changes after a revision, for at most wait. It returns
 	// ErrHistoryExpired if the source no longer holds the changes after that
 	// revision.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch[R], error)
+	Watch(ctx context.Context, after revision.Revision, wait time.Duration) (Batch[R], error)
 }
 
 // Handler receives what a feed reads. A feed calls its methods from a single
 // goroutine.
 type Handler[R any] interface {
 	// Replace receives a complete list. afterOutage is true if the list follows
-	// an outage of the store.
+	// an outage of the store, or its restore from a copy: both lose records whose
+	// writers write them again.
 	Replace(b Batch[R], afterOutage bool)
 	// Update receives changes, possibly none.
 	Update(b Batch[R])
@@ -86,7 +89,10 @@
 	handler Handler[R]
 	options Options
 
-	revision uint64
+	revision revision.Revision
+	// listed is true after the first list, era the highest era that was listed.
+	listed bool
+	era    uint64
 	// failing is true from a failure until the next successful list;
 	// failingSince is when it began.
 	failing      bool
@@ -124,9 +130,9 @@
 	if err != nil {
 		return err
 	}
-	outage := f.failing && time.Since(f.failingSince) > minOutage
+	outage := f.failing && time.Since(f.failingSince) > minOutage || f.listed && b.Revision.Era() > f.era
 	f.recordSuccess()
-	f.revision = b.Revision
+	f.revision, f.listed, f.era = b.Revision, true, max(f.era, b.Revision.Era())
 	f.handler.Replace(b, outage)
 	return nil
 }
@@ -148,6 +154,10 @@
 		f.revision = 0
 		return nil
 	}
+	if b.Revision.Era() > f.revision.Era() {
+		f.revision = 0 // changes before b are missing
+		return nil
+	}
 	f.revision = max(f.revision, b.Revision)
 	f.handler.Update(b)
 	if len(b.Records) > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,10 @@
 	// reporter is nil until the gateway has joined its peers, and always nil if
 	// no peer port is set.
 	reporter atomic.Pointer[gossip.Reporter]
+	// self is the record of this gateway. It is set before the feeds start. reregister
+	// receives an element when the store lacks it.
+	self       gossip.Peer
+	reregister chan struct{}
 
 	// startedAt is when the process started.
 	startedAt time.Time
@@ -83,7 +87,7 @@
 	// none has begun.
 	drainDeadline atomic.Int64
 
-	// mu guards configConfirmedAt, firstInstanceAt, membersChangedAt,
+	// mu guards configConfirmedAt, firstInstanceAt, membersChangedAt, era, eraKnown,
 	// instancesSynced, configSynced and quarantinesSynced.
 	mu sync.Mutex
 	// configConfirmedAt is when the store last confirmed the configuration.
@@ -91,6 +95,10 @@
 	// firstInstanceAt is when the first instance was added, membersChangedAt
 	// when an instance was last added or removed.
 	firstInstanceAt, membersChangedAt time.Time
+	// era is the highest era of the store in which a feed was read, eraKnown is false
+	// before the first list.
+	era      uint64
+	eraKnown bool
 	// instancesSynced, configSynced and quarantinesSynced are true once the gateway has
 	// received the list of instances, a configuration and the quarantined parts.
 	instancesSynced   bool
@@ -120,6 +128,7 @@
 		clients:    newClientConns(),
 		streams:    newActiveStreams(),
 		synced:     make(chan struct{}),
+		reregister: make(chan struct{}, 1),
 		startedAt:  time.Now(),
 	}
 	limits := retry.Limits{Ratio: s.RetryRatio, Window: s.RetryWindow, Reserve: s.RetryReserve}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/feed"
 	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/quarantine"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 // answeredEvents is the number of events after which an instance has begun to answer
@@ -97,7 +98,7 @@
 type QuarantineRecord struct {
 	Part quarantine.Part
 	// Revision is the revision of the record's last change.
-	Revision uint64
+	Revision revision.Revision
 	// Removed is true if the record was removed from the store.
 	Removed bool
 }
@@ -107,7 +108,7 @@
 	g *Gateway
 	// revisions holds the highest known revision of each record, so that an older removal
 	// does not release a part that was quarantined again.
-	revisions map[quarantine.Part]uint64
+	revisions map[quarantine.Part]revision.Revision
 }
 
 // Replace implements feed.Handler. A part that is missing in a list may not be stored
@@ -203,7 +204,7 @@
 }
 
 // storeQuarantines writes the decisions of at least minAge that the store lacks, and
-// removes those that this gateway ended. What fails is tried again.
+// removes those that this gateway ended or that a restore brought back. What fails is tried again.
 func (g *Gateway) storeQuarantines(ctx context.Context, minAge time.Duration, now time.Time) {
 	write := func(part quarantine.Part, stored bool, call func(context.Context, quarantine.Part) error) {
 		ctx, cancel := context.WithTimeout(ctx, quarantineStoreTimeout)
@@ -218,7 +219,7 @@
 	for _, part := range g.quarantine.Unstored(minAge, now) {
 		write(part, true, g.platform.Quarantines.Save)
 	}
-	for _, part := range g.quarantine.Outdated() {
+	for _, part := range g.quarantine.Outdated(minAge, now) {
 		write(part, false, g.platform.Quarantines.Remove)
 	}
 }
