fleet: Believe instances that say in an answer that they leave

Cause: A server that leaves says so in all its answers (Server-Leaving), before or without a change of its entry in the store. The gateway did not read the header and sent requests on until the server was gone (DRAIN).

Change: The word is read from every answer: of streams, plain requests and refusals, and of reports and orders, for which Engines returns it beside the result. fleet.Directory then counts the instance as draining, so that all that avoids and evacuates draining instances applies at once. Gateways pass it on in their reports: it never turns back. Each belief is logged once (NR1830). Ruled out: a state of its own in the instance tracker, which every place that looks at draining instances would have to ask too.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -61,6 +61,9 @@
 	InstanceLimit = define(1824, "instance-limit", zerolog.InfoLevel,
 		"An instance named another limit of the requests a second that it takes from all gateways together, or named none any "+
 			"more (unlimited).", "If it lasts, check the instance: it is in need.")
+	InstanceLeaving = define(1830, "instance-leaving", zerolog.InfoLevel,
+		"An instance said in an answer that it leaves, to this gateway or to the one in the field peer. It gets no new work and its "+
+			"streams are moved, whatever its record in the store says, until it has started again.", noAction)
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,7 +36,8 @@
 	Address string
 	// Domain is the failure domain.
 	Domain string
-	// Draining instances accept no new work.
+	// Draining instances accept no new work: their entry or they themselves say that they
+	// leave.
 	Draining bool
 	// Slots is the maximum number of concurrent requests; 0 means no limit.
 	Slots int
@@ -74,7 +75,7 @@
 
 // Directory maintains the newest view. It is safe for concurrent use.
 type Directory struct {
-	// mu guards revisions, observed, changedAt, removeAt and storeRecoveredAt,
+	// mu guards revisions, observed, changedAt, removeAt, leaving and storeRecoveredAt,
 	// and serializes changes of view.
 	mu   sync.Mutex
 	view atomic.Pointer[View]
@@ -89,6 +90,8 @@
 	// removeAt is the time at which an instance is removed that was found
 	// missing after an outage of the store.
 	removeAt map[string]time.Time
+	// leaving holds the instances that said that they leave.
+	leaving map[string]departure
 	// storeRecoveredAt is the end of the last outage of the store.
 	storeRecoveredAt time.Time
 }
@@ -97,7 +100,7 @@
 func NewDirectory() *Directory {
 	d := &Directory{
 		revisions: make(map[string]uint64), observed: make(map[string]Observation),
-		changedAt: make(map[string]time.Time), removeAt: make(map[string]time.Time),
+		changedAt: make(map[string]time.Time), removeAt: make(map[string]time.Time), leaving: make(map[string]departure),
 	}
 	d.view.Store(newView(map[string]Instance{}))
 	return d
@@ -202,7 +205,7 @@
 }
 
 // Expire removes the missing instances whose grace period after an outage has
-// ended, and old observations.
+// ended, old observations and old departures.
 func (d *Directory) Expire(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -212,6 +215,7 @@
 		if !now.Before(at) {
 			delete(next, id)
 			delete(d.removeAt, id)
+			d.recordRemoval(id, now)
 			removed = true
 		}
 	}
@@ -220,6 +224,7 @@
 			delete(d.observed, id)
 		}
 	}
+	d.expireDepartures(now)
 	if removed {
 		d.publish(next)
 	}
@@ -242,6 +247,7 @@
 		if o, ok := d.observed[r.ID]; ok {
 			in.Layers = o.Layers
 		}
+		in.Draining = in.Draining || d.isLeaving(in)
 		next[r.ID] = in
 		delete(d.removeAt, r.ID)
 		return
@@ -254,6 +260,7 @@
 	}
 	delete(next, r.ID)
 	delete(d.removeAt, r.ID)
+	d.recordRemoval(r.ID, now)
 }
 
 // removalTime returns the time at which an instance is removed that is found
--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -25,7 +25,7 @@
 // faultFinder finds out why a stream is silent by requesting reports from the
 // instances of its path. Streams share the reports.
 type faultFinder struct {
-	engines   Engines
+	control   *control
 	tracker   *chain.InstanceTracker
 	directory *fleet.Directory
 	log       *events.Logger
@@ -48,15 +48,15 @@
 	err    error
 }
 
-func newFaultFinder(e Engines, t *chain.InstanceTracker, d *fleet.Directory, log *events.Logger) *faultFinder {
-	return &faultFinder{engines: e, tracker: t, directory: d, log: log, answers: make(map[string]*reportAnswer)}
+func newFaultFinder(c *control, t *chain.InstanceTracker, d *fleet.Directory, log *events.Logger) *faultFinder {
+	return &faultFinder{control: c, tracker: t, directory: d, log: log, answers: make(map[string]*reportAnswer)}
 }
 
 // Locate returns the instance of path p that keeps request id from progressing,
 // or "" if there is none. That instance gets no new work for a while.
 func (f *faultFinder) Locate(ctx context.Context, p chain.Path, id string, now time.Time) (string, error) {
 	first := p.First()
-	answer := f.fetchReport(ctx, first.Address, now, maxStallReportAge)
+	answer := f.fetchReport(ctx, first.Instance, first.Address, now, maxStallReportAge)
 	if answer.err != nil {
 		if ctx.Err() != nil {
 			return "", ctx.Err()
@@ -86,7 +86,7 @@
 			continue
 		}
 		wait.Go(func() {
-			if answer := f.fetchReport(ctx, stage.Address, now, maxSlownessReportAge); answer.err == nil {
+			if answer := f.fetchReport(ctx, stage.Instance, stage.Address, now, maxSlownessReportAge); answer.err == nil {
 				f.tracker.RecordSlowness(stage.Instance, answer.report.Slowness, now)
 			}
 		})
@@ -107,7 +107,7 @@
 
 // ObserveLayers asks an instance which layers it holds.
 func (f *faultFinder) ObserveLayers(ctx context.Context, in fleet.Instance, now time.Time) (fleet.Observation, error) {
-	answer := f.fetchReport(ctx, in.Address, now, maxLayerReportAge)
+	answer := f.fetchReport(ctx, in.ID, in.Address, now, maxLayerReportAge)
 	if answer.err != nil {
 		return fleet.Observation{}, answer.err
 	}
@@ -128,7 +128,7 @@
 // to stop, although the directory does not show that yet. An instance that does
 // not answer is recorded as lost.
 func (f *faultFinder) ClassifyRefusal(ctx context.Context, in fleet.Instance, now time.Time) {
-	answer := f.fetchReport(ctx, in.Address, now, maxStallReportAge)
+	answer := f.fetchReport(ctx, in.ID, in.Address, now, maxStallReportAge)
 	r := answer.report
 	switch {
 	case answer.err != nil:
@@ -149,7 +149,7 @@
 			continue
 		}
 		go func() {
-			answer := f.fetchReport(ctx, in.Address, now, 0)
+			answer := f.fetchReport(ctx, in.ID, in.Address, now, 0)
 			// Instances of plain services refuse, since they have no report.
 			answered := answer.err == nil || errors.Is(answer.err, ErrOrderRefused)
 			f.tracker.RecordRecheck(id, answered, time.Now())
@@ -166,7 +166,7 @@
 		if !known {
 			continue
 		}
-		if answer := f.fetchReport(ctx, in.Address, now, maxSlownessReportAge); answer.err == nil {
+		if answer := f.fetchReport(ctx, in.ID, in.Address, now, maxSlownessReportAge); answer.err == nil {
 			f.tracker.RecordSlowness(id, answer.report.Slowness, now)
 		}
 	}
@@ -174,14 +174,16 @@
 
 // fetchReport returns an answer of the instance that was requested at most maxAge
 // ago, which may be an error. Concurrent callers share one request.
-func (f *faultFinder) fetchReport(ctx context.Context, address string, now time.Time, maxAge time.Duration) *reportAnswer {
+func (f *faultFinder) fetchReport(
+	ctx context.Context, instance, address string, now time.Time, maxAge time.Duration,
+) *reportAnswer {
 	f.mu.Lock()
 	a := f.answers[address]
 	if a == nil || now.Sub(a.at) > maxAge {
 		a = &reportAnswer{done: make(chan struct{}), at: now}
 		f.answers[address] = a
 		f.mu.Unlock()
-		f.requestReport(ctx, address, a)
+		f.requestReport(ctx, instance, address, a)
 		return a
 	}
 	f.mu.Unlock()
@@ -194,11 +196,11 @@
 }
 
 // requestReport requests a report and stores the result in a.
-func (f *faultFinder) requestReport(ctx context.Context, address string, a *reportAnswer) {
+func (f *faultFinder) requestReport(ctx context.Context, instance, address string, a *reportAnswer) {
 	// The answer is shared with other streams, so the end of this stream must
 	// not cancel the request.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	defer cancel()
-	a.report, a.err = f.engines.Report(ctx, address)
+	a.report, a.err = f.control.Report(ctx, instance, address)
 	close(a.done)
 }
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -17,8 +17,8 @@
 // plain service does.
 type refusingEngines struct{ Engines }
 
-func (refusingEngines) Report(context.Context, string) (Report, error) {
-	return Report{}, ErrOrderRefused
+func (refusingEngines) Report(context.Context, string) (Report, Notice, error) {
+	return Report{}, Notice{}, ErrOrderRefused
 }
 
 // Guards against an instance of a plain service that stays lost after its restart, because
@@ -26,7 +26,7 @@
 func TestLostInstanceWithoutReportIsUsedAgain(t *testing.T) {
 	tracker, directory, now := chain.NewInstanceTracker(), fleet.NewDirectory(), time.Now()
 	directory.Replace([]fleet.Record{{ID: "i", Instance: &fleet.Instance{ID: "i", Service: "s"}}}, false, now)
-	f := newFaultFinder(refusingEngines{}, tracker, directory, events.Nop())
+	f := newFaultFinder(&control{refusingEngines{}, &noticeRecorder{directory, events.Nop()}}, tracker, directory, events.Nop())
 	tracker.RecordLost("i", now)
 	f.RecheckLost(t.Context(), directory.View(), now.Add(2*time.Second))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,8 @@
 type Gateway struct {
 	settings    Settings
 	protocol    Protocol
-	engines     Engines
+	control     *control
+	notices     *noticeRecorder
 	platform    Platform
 	log         *events.Logger
 	metrics     *gatewayMetrics
@@ -101,10 +102,13 @@
 // New returns a gateway.
 func New(s Settings, p Platform, log *events.Logger, scope tally.Scope) *Gateway {
 	directory, tracker := fleet.NewDirectory(), chain.NewInstanceTracker()
+	notices := &noticeRecorder{directory, log}
+	instances := &control{p.Engines, notices}
 	g := &Gateway{
 		settings:   s,
 		protocol:   p.Protocol,
-		engines:    p.Engines,
+		control:    instances,
+		notices:    notices,
 		platform:   p,
 		log:        log,
 		metrics:    newMetrics(scope, metrics.LatencyBuckets),
@@ -112,7 +116,7 @@
 		tracker:    tracker,
 		pool:       backend.NewPool(),
 		admission:  newAdmission(tracker, directory),
-		faults:     newFaultFinder(p.Engines, tracker, directory, log),
+		faults:     newFaultFinder(instances, tracker, directory, log),
 		ends:       newEndDetector(),
 		quarantine: quarantine.NewRegister(),
 		idleConns:  newIdleConnections(),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -36,7 +36,10 @@
 	options := gossip.Options{
 		Name: g.settings.Instance, Address: address, Domain: g.settings.FailureDomain, Capacity: g.settings.Capacity,
 	}
-	state := gossip.SharedState{Tracker: g.tracker, Directory: g.directory, Budget: g.budget, Quarantine: g.quarantine}
+	state := gossip.SharedState{
+		Tracker: g.tracker, Directory: g.directory, Budget: g.budget, Quarantine: g.quarantine,
+		OnLeaving: g.notices.logLeaving,
+	}
 	reporter, err := gossip.Listen(options, state)
 	if err != nil {
 		return err
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -345,13 +345,13 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if startedOrders == unknownOrderCount {
-		report, err := p.g.engines.Report(ctx, order.Instance.Address)
+		report, err := p.g.control.Report(ctx, order.Instance.ID, order.Instance.Address)
 		if err != nil {
 			return startedOrders, errors.Join(errOrderNotSent, err)
 		}
 		startedOrders = report.Orders
 	}
-	return startedOrders, p.g.engines.OrderLayers(ctx, order.Instance, order.Layers, startedOrders)
+	return startedOrders, p.g.control.OrderLayers(ctx, order.Instance, order.Layers, startedOrders)
 }
 
 // errOrderNotSent means that an order was not sent.
--- a/internal/gateway/placer_test.go
+++ b/internal/gateway/placer_test.go
@@ -15,9 +15,9 @@
 // unresponsiveEngines is an Engines that never answers an order.
 type unresponsiveEngines struct{ failingEngines }
 
-func (unresponsiveEngines) OrderLayers(ctx context.Context, _ fleet.Instance, _ fleet.LayerRange, _ int64) error {
+func (unresponsiveEngines) OrderLayers(ctx context.Context, _ fleet.Instance, _ fleet.LayerRange, _ int64) (Notice, error) {
 	<-ctx.Done()
-	return ctx.Err()
+	return Notice{}, ctx.Err()
 }
 
 // Guards against losing the results of unanswered orders: the instances then
@@ -25,7 +25,7 @@
 // places layers was lost while orders were delayed.
 func TestUnansweredOrdersAreRecorded(t *testing.T) {
 	g := newTestGateway(t, routing.Route{}, http.NotFoundHandler())
-	g.engines = unresponsiveEngines{}
+	g.control.engines = unresponsiveEngines{}
 	p := newPlacer(g, &leaseWithUnreachableStore{})
 	const orders = 20
 	for range orders {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -32,10 +32,13 @@
 	}
 	c.sends++
 	c.sentAt, c.answerEvents = time.Now(), 0
+	asked := c.g.notices.asked(p.First().Instance)
 	x, err := c.g.pool.Do(c.context(), p.First().Address, c.request(p, lastEvent), o)
 	c.respondedAt = time.Now()
 	if err == nil {
-		c.recordLimit(p.First().Instance, c.g.protocol.Reply(x.Response).Limit)
+		reply := c.g.protocol.Reply(x.Response)
+		c.recordLimit(p.First().Instance, reply.Limit)
+		c.g.notices.record(asked, reply.Notice)
 	}
 	return x, err
 }
--- a/internal/gateway/reroute.go
+++ b/internal/gateway/reroute.go
@@ -26,7 +26,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.context(), rerouteTimeout)
 	defer cancel()
-	err := s.g.engines.Reroute(ctx, g.Path.First().Address, s.inbound.ID, g.Path)
+	err := s.g.control.Reroute(ctx, s.inbound.ID, g.Path)
 	s.endReroute(g, grantSeq, err)
 	s.g.log.Log(events.StreamRerouted).Str("request", s.inbound.ID).Str("avoided", avoided).
 		Str("path", formatPath(g.Path)).Err(err).Send()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -94,6 +94,13 @@
 	FaultAddress string
 	// Limit is the limit that the instance names.
 	Limit chain.Limit
+	Notice
+}
+
+// Notice is what an instance says of itself in the headers of any answer.
+type Notice struct {
+	// Leaving is true if the instance leaves.
+	Leaving bool
 }
 
 // Protocol translates the headers of requests and responses.
@@ -133,15 +140,18 @@
 	Requests int
 }
 
-// Engines calls the control interface of model engines.
+// Engines calls the control interface of model engines. A notice is also returned with an
+// error if the instance answered.
 type Engines interface {
 	// Report asks an instance for its state.
-	Report(ctx context.Context, address string) (Report, error)
+	Report(ctx context.Context, address string) (Report, Notice, error)
 	// OrderLayers orders an instance to hold layers, provided that it has
 	// started exactly ordersStarted orders since its own start. An order that
 	// gets no answer may still be carried out.
-	OrderLayers(ctx context.Context, in fleet.Instance, layers fleet.LayerRange, ordersStarted int64) error
+	OrderLayers(
+		ctx context.Context, in fleet.Instance, layers fleet.LayerRange, ordersStarted int64,
+	) (Notice, error)
 	// Reroute changes the path of a running request. The first stage of the path
 	// must stay the same.
-	Reroute(ctx context.Context, address, id string, p chain.Path) error
+	Reroute(ctx context.Context, address, id string, p chain.Path) (Notice, error)
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -41,13 +41,17 @@
 
 var errDown = errors.New("engine down")
 
-func (failingEngines) Report(context.Context, string) (Report, error) { return Report{}, errDown }
+func (failingEngines) Report(context.Context, string) (Report, Notice, error) {
+	return Report{}, Notice{}, errDown
+}
 
-func (failingEngines) OrderLayers(context.Context, fleet.Instance, fleet.LayerRange, int64) error {
-	return errDown
+func (failingEngines) OrderLayers(context.Context, fleet.Instance, fleet.LayerRange, int64) (Notice, error) {
+	return Notice{}, errDown
 }
 
-func (failingEngines) Reroute(context.Context, string, string, chain.Path) error { return errDown }
+func (failingEngines) Reroute(context.Context, string, string, chain.Path) (Notice, error) {
+	return Notice{}, errDown
+}
 
 // newTestGateway returns a gateway with one route to one instance, whose
 // requests the given handler serves.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,6 +1,6 @@
 // Package gossip exchanges reports between the gateways of a deployment. Each
 // gateway reports the load that it causes on instances, the faulty and slow
-// instances that it has found, the layers that instances hold, its use of the
+// instances that it has found, the layers that instances hold, those that leave, its use of the
 // retry budget, the parts of prompts that crash instances and its own status. Within a failure domain every gateway reports to
 // every other one. Two relays of each failure domain send summaries of it to the
 // relays of the others, which forward them.
@@ -53,6 +53,8 @@
 	Directory  *fleet.Directory
 	Budget     *retry.Budget
 	Quarantine *quarantine.Register
+	// OnLeaving, if set, is called when a peer tells of an instance that leaves.
+	OnLeaving func(leaving fleet.Departure, peer string)
 }
 
 // Options describe the gateway that reports.
@@ -290,7 +292,7 @@
 // encodeReport returns the datagrams of the report of this gateway.
 func (x *Reporter) encodeReport(known quarantine.Report, now time.Time) [][]byte {
 	retries := x.state.Budget.LocalReport(now)
-	c := contents{x.state.Tracker.LocalReport(now), x.observations(now), retries.Usage, known}
+	c := contents{x.state.Tracker.LocalReport(now), x.observations(now), x.state.Directory.Departures(), retries.Usage, known}
 	x.mu.Lock()
 	header := x.header(message{
 		LeaseUnavailable: x.members.status.LeaseUnavailable, Leading: x.members.status.Leading,
@@ -308,7 +310,7 @@
 	x.mu.Unlock()
 	retries := x.state.Budget.GroupReport(names, now)
 	header.Predecessors = uint32(max(retries.Predecessors, 0))
-	c := contents{x.state.Tracker.GroupReport(names, now), x.observations(now), retries.Usage, known}
+	c := contents{x.state.Tracker.GroupReport(names, now), x.observations(now), x.state.Directory.Departures(), retries.Usage, known}
 	return pack(header, c, now)
 }
 
@@ -345,6 +347,12 @@
 			At: now.Add(-time.Duration(o.AgeMS) * time.Millisecond),
 		})
 	}
+	for _, d := range m.Departures {
+		leaving := fleet.Departure{ID: d.Instance, StartedMS: d.StartedMS}
+		if x.state.Directory.MarkLeaving(leaving, now) && x.state.OnLeaving != nil {
+			x.state.OnLeaving(leaving, m.From)
+		}
+	}
 	x.state.Tracker.AddPeerReport(r.key, m.ReportNumber, m.report(), now)
 	x.state.Budget.AddPeerReport(r.key, m.retryReport(), now)
 	x.state.Quarantine.Merge(m.quarantineReport(), now)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -16,7 +16,7 @@
 	// buffer. A datagram of this size fits in one network packet.
 	maxDatagramBytes = 1400
 	// itemOverheadBytes bounds the encoded size of a load, fault, slowness,
-	// observation or usage in addition to the name that it holds.
+	// observation, departure or usage in addition to the name that it holds.
 	itemOverheadBytes = 24
 	// percent converts a factor to a percentage.
 	percent = 100
@@ -69,6 +69,8 @@
 	// Suspects and Decisions are those of quarantine.Report.
 	Suspects  []suspect  `cbor:"20,keyasint,omitempty"`
 	Decisions []decision `cbor:"21,keyasint,omitempty"`
+	// Departures holds the instances that said that they leave.
+	Departures []departure `cbor:"26,keyasint,omitempty"`
 	// Part numbers the datagrams of one report from 0.
 	Part uint32 `cbor:"18,keyasint,omitempty"`
 }
@@ -129,6 +131,14 @@
 	AgeMS uint32
 }
 
+// departure is the word of an instance that it leaves.
+type departure struct {
+	_        struct{} `cbor:",toarray"`
+	Instance string
+	// StartedMS is the start of the instance in Unix milliseconds.
+	StartedMS int64
+}
+
 // suspect is a part of prompts under which instances ended.
 type suspect struct {
 	_           struct{} `cbor:",toarray"`
@@ -159,6 +169,7 @@
 type contents struct {
 	instances    chain.Report
 	observations []fleet.Observation
+	departures   []fleet.Departure
 	usage        []retry.Usage
 	quarantine   quarantine.Report
 }
@@ -188,6 +199,10 @@
 			Service: u.Service, Requests: uint32(max(u.Requests, 0)), Repeats: uint32(max(u.Repeats, 0)),
 		})
 	}
+	for _, d := range c.departures {
+		m := p.makeRoom(d.ID)
+		m.Departures = append(m.Departures, departure{Instance: d.ID, StartedMS: d.StartedMS})
+	}
 	p.addQuarantine(c.quarantine)
 	for _, f := range c.instances.Faults {
 		m := p.makeRoom(f.Instance)
