chain: Leave instances alone for the time that their refusals name

The instance tracker keeps the backoff, for a minute at most. Until its end the instance is neither chosen nor a later stage of a new path nor a fallback, and gets no reports, rechecks, measurements, orders or changes of paths; the placer counts it as busy. If only instances in a backoff could serve a request, it is refused at once unless one of them takes calls within its time in the queue, with the time until then as its own Retry-After. Ruled out: telling the other gateways. The rule is per gateway, and an instance that refuses one may still serve another. A backoff is not ended by a restart of the instance under the same id. Each one is logged once when it begins (NR1831).

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -114,13 +114,13 @@
 
 // DueRechecks returns the lost instances that are to be checked for whether they
 // answer again: those that this process itself found lost and that are not
-// leaving. It returns an instance at most once per recheckInterval.
+// leaving and not in a backoff. It returns an instance at most once per recheckInterval.
 func (t *InstanceTracker) DueRechecks(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []string
 	for id, state := range t.instances {
-		if state.locallyLost && !state.leaving && now.Before(state.lostUntil) && !now.Before(state.recheckAt) {
+		if state.locallyLost && !state.leaving && !state.backsOff(now) && now.Before(state.lostUntil) && !now.Before(state.recheckAt) {
 			state.recheckAt = now.Add(recheckInterval)
 			list = append(list, id)
 		}
@@ -164,13 +164,14 @@
 )
 
 // DueMeasurements returns the instances whose slowness is to be measured again:
-// those that were slower than usual at their last measurement.
+// those that were slower than usual at their last measurement and not in a backoff.
 func (t *InstanceTracker) DueMeasurements(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []string
 	for id, state := range t.instances {
-		if age := now.Sub(state.slowAt); state.slowness > 1 && age > slownessRefreshAge && age < slownessMaxAge {
+		if age := now.Sub(state.slowAt); state.slowness > 1 && age > slownessRefreshAge && age < slownessMaxAge &&
+			!state.backsOff(now) {
 			list = append(list, id)
 		}
 	}
--- a/internal/chain/path.go
+++ b/internal/chain/path.go
@@ -43,6 +43,8 @@
 	// ErrFull means that usable instances hold the layers of the model but have
 	// too little free KV cache, or that all slots of a plain service are in use.
 	ErrFull = errors.New("chain: no room")
+	// ErrBackoff means that instances could serve the request, but want no calls for a while.
+	ErrBackoff = errors.New("chain: instances want no requests for now")
 )
 
 // hopTime is the time that each stage adds per token: the delay of a link within
@@ -59,12 +61,14 @@
 	// mayReceive is false if the limit of the instance allows no request of this gateway.
 	// It can still be a later stage, which gets no requests from gateways.
 	mayReceive bool
+	// backsOff is true if the instance wants no calls.
+	backsOff bool
 }
 
 // candidates returns the instances of a model's service in one failure domain that
 // may get a request: those that hold layers, have an accelerator that the model
 // supports and a free slot, and are neither draining nor lost. Avoided instances
-// are included only if includeAvoided is true.
+// are included only if includeAvoided is true. Those that want no calls are marked.
 func (t *InstanceTracker) candidates(
 	view *fleet.View, s *routing.Service, domain string, includeAvoided bool, now time.Time,
 ) []candidate {
@@ -85,7 +89,7 @@
 		}
 		state.addUnreported(neighbours, now)
 		list = append(list, candidate{in, t.layerTime(s.Model, accelerator, state),
-			t.freeKVCache(s.Model, accelerator, in, state, maxReserved, now), t.maySend(in.ID, now)})
+			t.freeKVCache(s.Model, accelerator, in, state, maxReserved, now), t.maySend(in.ID, now), state.backsOff(now)})
 	}
 	// A fixed order makes the choice deterministic.
 	slices.SortFunc(list, func(a, b candidate) int {
@@ -188,6 +192,13 @@
 	return backtrack(fastest, list, layers), complete.cost, true
 }
 
+// existsPath reports whether a path over a range of layers exists if limits and the use of KV
+// cache are ignored.
+func existsPath(list []candidate, layers fleet.LayerRange) bool {
+	_, _, ok := searchPath(ignoreLimits(list), layers, 0)
+	return ok
+}
+
 // usesCandidate reports whether the fastest partial path that ends before layer
 // end uses candidate i.
 func usesCandidate(fastest map[int]partialPath, list []candidate, end, i int) bool {
--- a/internal/chain/tracker.go
+++ b/internal/chain/tracker.go
@@ -61,6 +61,8 @@
 	// is not checked again.
 	leaving   bool
 	recheckAt time.Time
+	// backoffUntil is the time until which the instance wants no calls.
+	backoffUntil time.Time
 }
 
 // InstanceTracker tracks the load and the health of instances and reserves
@@ -132,7 +134,7 @@
 
 // Choose reserves capacity for a demand: on the fastest path found for a model, or
 // on the instance of a plain service with the fewest requests. It returns
-// ErrNoInstance or ErrFull if there is none.
+// ErrNoInstance, ErrFull or ErrBackoff if there is none.
 func (t *InstanceTracker) Choose(view *fleet.View, s *routing.Service, d Demand, now time.Time) (Grant, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -165,10 +167,10 @@
 
 // choosePath uses avoided instances only if no path without them exists, not even
 // one with too little free KV cache, so that avoidance never leaves a model
-// without a path.
+// without a path. It never uses instances that want no calls.
 func (t *InstanceTracker) choosePath(view *fleet.View, s *routing.Service, d Demand, now time.Time) (Grant, error) {
 	g, err := t.fastestPathInAnyDomain(view, s, d, false, now)
-	if errors.Is(err, ErrNoInstance) {
+	if errors.Is(err, ErrNoInstance) || errors.Is(err, ErrBackoff) {
 		return t.fastestPathInAnyDomain(view, s, d, true, now)
 	}
 	return g, err
@@ -180,14 +182,16 @@
 	view *fleet.View, s *routing.Service, d Demand, includeAvoided bool, now time.Time,
 ) (Grant, error) {
 	var fastest Path
-	lowestCost, pathExists := infiniteCost, false
+	lowestCost, pathExists, backoff := infiniteCost, false, false
 	for _, domain := range failureDomains(view, s.Name) {
-		list := excludeInstances(t.candidates(view, s, domain, includeAvoided, now), d.Avoid)
+		candidates := t.candidates(view, s, domain, includeAvoided, now)
+		list, leftOut := withoutBackoff(candidates)
+		list = excludeInstances(list, d.Avoid)
 		all := fleet.LayerRange{To: s.Model.Layers}
 		path, cost, ok := searchPath(list, all, float64(d.Tokens))
 		if !ok {
-			_, _, existsWithRoom := searchPath(ignoreLimits(list), all, 0)
-			pathExists = pathExists || existsWithRoom
+			pathExists = pathExists || existsPath(list, all)
+			backoff = backoff || leftOut && existsPath(candidates, all)
 			continue
 		}
 		pathExists = true
@@ -203,6 +207,8 @@
 		return t.place(fastest, float64(d.Tokens), now), nil
 	case pathExists:
 		return Grant{}, ErrFull
+	case backoff:
+		return Grant{}, ErrBackoff
 	}
 	return Grant{}, ErrNoInstance
 }
@@ -284,7 +290,8 @@
 	for _, stage := range g.Path {
 		used = append(used, stage.Instance)
 	}
-	list := excludeInstances(t.candidates(view, s, domain, false, now), used)
+	list, _ := withoutBackoff(t.candidates(view, s, domain, false, now))
+	list = excludeInstances(list, used)
 	gap := fleet.LayerRange{From: g.Path[index].From, To: g.Path[index].To}
 	replacement, _, ok := searchPath(list, gap, g.tokens)
 	if !ok || len(g.Path)+len(replacement) > maxStages {
@@ -315,9 +322,16 @@
 	now time.Time) (Grant, error) {
 	var best, fallback *fleet.Instance
 	bestLoad := 0
-	full := false
+	full, backoff := false, false
 	for _, in := range view.Instances {
-		if in.Service != s.Name || in.Draining || slices.Contains(d.Avoid, in.ID) {
+		if in.Service != s.Name || in.Draining {
+			continue
+		}
+		if t.instances[in.ID].backsOff(now) {
+			backoff = true
+			continue
+		}
+		if slices.Contains(d.Avoid, in.ID) {
 			continue
 		}
 		state := t.totalState(in.ID, now)
@@ -349,6 +363,8 @@
 		return t.reserve(Path{{Instance: best.ID, Address: best.Address}}, 0), nil
 	case full:
 		return Grant{}, ErrFull
+	case backoff:
+		return Grant{}, ErrBackoff
 	}
 	return Grant{}, ErrNoInstance
 }
@@ -387,14 +403,14 @@
 	return state.tokenLayers, state.requests
 }
 
-// Prune deletes the state of instances that are not in the view and have no
-// requests of this process.
+// Prune deletes the state of instances that are not in the view, have no requests of
+// this process and are not in a backoff.
 func (t *InstanceTracker) Prune(view *fleet.View, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.pruneLimits(view, now)
 	for id, state := range t.instances {
-		if _, known := view.Instances[id]; !known && state.requests == 0 {
+		if _, known := view.Instances[id]; !known && state.requests == 0 && !state.backsOff(now) {
 			delete(t.instances, id)
 		}
 	}
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -64,6 +64,9 @@
 	InstanceLeaving = define(1830, "instance-leaving", zerolog.InfoLevel,
 		"An instance said in an answer that it leaves, to this gateway or to the one in the field peer. It gets no new work and its "+
 			"streams are moved, whatever its record in the store says, until it has started again.", noAction)
+	InstanceBackoff = define(1831, "instance-backoff", zerolog.InfoLevel,
+		"An instance refused a call and named a time for which it wants none from this gateway (wait_ms, as it was named): no "+
+			"requests, reports or orders. One minute at most is kept.", "If it recurs, check the instance: it is overloaded.")
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -79,7 +79,7 @@
 		return g, nil
 	default:
 	}
-	if !req.waitIfUnservable && a.unservable(w) {
+	if !req.waitIfUnservable && a.unservable(w, time.Now()) {
 		return a.stopWaiting(w)
 	}
 	timer := time.NewTimer(req.maxWait)
@@ -114,10 +114,13 @@
 }
 
 // unservable reports whether the latest dispatch found no set of instances that
-// could serve the request.
-func (a *admission) unservable(w *waiter) bool {
+// could serve the request within its maxWait.
+func (a *admission) unservable(w *waiter, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if errors.Is(w.lastErr, chain.ErrBackoff) {
+		return a.tracker.BackoffEnd(a.directory.View(), w.service.Name, now).After(now.Add(w.maxWait))
+	}
 	return errors.Is(w.lastErr, chain.ErrNoInstance)
 }
 
@@ -297,10 +300,25 @@
 	case len(c.possiblyRanOn) > 0:
 		c.fail(http.StatusBadGateway, "no other instance: "+err.Error())
 	default:
-		c.refuse(err.Error(), c.retryDelay())
+		delay := c.retryDelay()
+		if errors.Is(err, chain.ErrBackoff) {
+			delay = max(delay, c.backoffDelay(time.Now()))
+		}
+		c.refuse(err.Error(), delay)
 	}
 }
 
+// maxBackoffSpread is the longest time by which refused clients come back later than the
+// first instance takes calls, so that they don't all come at once.
+const maxBackoffSpread = 300 * time.Millisecond
+
+// backoffDelay returns the delay after which a client should retry whose request no instance
+// takes for a while.
+func (c *call) backoffDelay(now time.Time) time.Duration {
+	end := c.g.tracker.BackoffEnd(c.g.directory.View(), c.service.Name, now)
+	return end.Sub(now) + time.Duration(rand.Float64()*float64(maxBackoffSpread))
+}
+
 const (
 	// minRetryShare and maxRetryShare bound the Retry-After of a refusal, as
 	// fractions of the time that the client has left. The value between them is
--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -53,7 +53,7 @@
 }
 
 // Locate returns the instance of path p that keeps request id from progressing,
-// or "" if there is none. That instance gets no new work for a while.
+// or "" if there is none. If the first instance wants no calls, it returns errBackoff. That instance gets no new work for a while.
 func (f *faultFinder) Locate(ctx context.Context, p chain.Path, id string, now time.Time) (string, error) {
 	first := p.First()
 	answer := f.fetchReport(ctx, first.Instance, first.Address, now, maxStallReportAge)
@@ -61,6 +61,9 @@
 		if ctx.Err() != nil {
 			return "", ctx.Err()
 		}
+		if errors.Is(answer.err, errBackoff) {
+			return "", answer.err
+		}
 		f.tracker.RecordUnreachable(first.Instance, now)
 		return first.Instance, nil
 	}
@@ -131,6 +134,7 @@
 	answer := f.fetchReport(ctx, in.ID, in.Address, now, maxStallReportAge)
 	r := answer.report
 	switch {
+	case errors.Is(answer.err, errBackoff):
 	case answer.err != nil:
 		f.tracker.RecordRecheck(in.ID, false, time.Now())
 		f.log.LogRateLimited(events.InstanceLost).Str("instance", in.ID).Err(answer.err).Send()
@@ -150,6 +154,9 @@
 		}
 		go func() {
 			answer := f.fetchReport(ctx, in.ID, in.Address, now, 0)
+			if errors.Is(answer.err, errBackoff) {
+				return
+			}
 			// Instances of plain services refuse, since they have no report.
 			answered := answer.err == nil || errors.Is(answer.err, ErrOrderRefused)
 			f.tracker.RecordRecheck(id, answered, time.Now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 // New returns a gateway.
 func New(s Settings, p Platform, log *events.Logger, scope tally.Scope) *Gateway {
 	directory, tracker := fleet.NewDirectory(), chain.NewInstanceTracker()
-	notices := &noticeRecorder{directory, log}
+	notices := &noticeRecorder{directory, tracker, log}
 	instances := &control{p.Engines, notices}
 	g := &Gateway{
 		settings:   s,
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
@@ -12,6 +14,7 @@
 // noticeRecorder takes over what instances say of themselves in their answers.
 type noticeRecorder struct {
 	directory *fleet.Directory
+	tracker   *chain.InstanceTracker
 	log       *events.Logger
 }
 
@@ -26,6 +29,9 @@
 	if n.Leaving && r.directory.MarkLeaving(asked, time.Now()) {
 		r.logLeaving(asked, "")
 	}
+	if r.tracker.RecordBackoff(asked.ID, n.Backoff, time.Now()) {
+		r.log.Log(events.InstanceBackoff).Str("instance", asked.ID).Dur("wait_ms", n.Backoff).Send()
+	}
 }
 
 // logLeaving logs that an instance leaves; peer is the gateway that told it, "" for none.
@@ -33,8 +39,11 @@
 	r.log.Log(events.InstanceLeaving).Str("instance", leaving.ID).Str("peer", peer).Send()
 }
 
-// control calls the control interface of instances and takes over the notices in their
-// answers.
+// errBackoff means that a call was not sent or refused because the instance wants no calls.
+var errBackoff = fmt.Errorf("gateway: instance wants no calls for now: %w", ErrOrderRefused)
+
+// control calls the control interface of instances that want calls and takes over the notices
+// in their answers. Its errors wrap errBackoff if an instance wants none.
 type control struct {
 	engines Engines
 	notices *noticeRecorder
@@ -42,9 +51,11 @@
 
 // Report asks an instance for its state.
 func (c *control) Report(ctx context.Context, instance, address string) (Report, error) {
-	asked := c.notices.asked(instance)
-	report, notice, err := c.engines.Report(ctx, address)
-	c.notices.record(asked, notice)
+	var report Report
+	err := c.call(instance, func() (notice Notice, err error) {
+		report, notice, err = c.engines.Report(ctx, address)
+		return notice, err
+	})
 	return report, err
 }
 
@@ -52,15 +63,25 @@
 func (c *control) OrderLayers(
 	ctx context.Context, in fleet.Instance, layers fleet.LayerRange, ordersStarted int64,
 ) error {
-	notice, err := c.engines.OrderLayers(ctx, in, layers, ordersStarted)
-	c.notices.record(fleet.Departure{ID: in.ID, StartedMS: in.StartedMS}, notice)
-	return err
+	return c.call(in.ID, func() (Notice, error) { return c.engines.OrderLayers(ctx, in, layers, ordersStarted) })
 }
 
 // Reroute orders the first instance of a path to change the path of a running request.
 func (c *control) Reroute(ctx context.Context, id string, p chain.Path) error {
-	asked := c.notices.asked(p.First().Instance)
-	notice, err := c.engines.Reroute(ctx, p.First().Address, id, p)
+	first := p.First()
+	return c.call(first.Instance, func() (Notice, error) { return c.engines.Reroute(ctx, first.Address, id, p) })
+}
+
+// call sends a call to an instance unless the instance wants none.
+func (c *control) call(instance string, send func() (Notice, error)) error {
+	if c.notices.tracker.InBackoff(instance, time.Now()) {
+		return errBackoff
+	}
+	asked := c.notices.asked(instance)
+	notice, err := send()
 	c.notices.record(asked, notice)
+	if notice.Backoff > 0 {
+		return errors.Join(err, errBackoff)
+	}
 	return err
 }
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -301,7 +301,7 @@
 // for a service in one failure domain.
 func (p *placer) sendPlannedOrders(ctx context.Context, s *routing.Service, instances []fleet.Instance,
 	now time.Time) {
-	for _, order := range placement.Plan(s.Model, instances, p.orderedLayers(instances)) {
+	for _, order := range placement.Plan(s.Model, instances, p.orderedLayers(instances, now)) {
 		share := float64(order.Layers.Len()) / float64(s.Model.Layers)
 		loadTime := time.Duration(share * float64(s.Model.LoadTime))
 		p.pending[order.Instance.ID] = pendingOrder{
@@ -310,18 +310,21 @@
 		}
 		go p.runOrder(ctx, order, p.ordersStartedBy(order.Instance))
 	}
-	if missing := placement.MissingLayers(s.Model, instances, p.orderedLayers(instances)); missing > 0 {
+	if missing := placement.MissingLayers(s.Model, instances, p.orderedLayers(instances, now)); missing > 0 {
 		p.g.log.LogRateLimited(events.LayersMissing).Str("service", s.Name).Int("missing", missing).
 			Int("instances", len(instances)).Send()
 	}
 }
 
-// orderedLayers returns the layer ranges of the pending orders, by instance.
-func (p *placer) orderedLayers(instances []fleet.Instance) map[string]fleet.LayerRange {
+// orderedLayers returns the layer ranges of the pending orders, by instance. An instance that
+// wants no calls counts as ordered to hold what it holds, so that it gets no orders.
+func (p *placer) orderedLayers(instances []fleet.Instance, now time.Time) map[string]fleet.LayerRange {
 	ordered := make(map[string]fleet.LayerRange)
 	for _, in := range instances {
 		if o, ok := p.pending[in.ID]; ok {
 			ordered[in.ID] = o.layers
+		} else if p.g.tracker.InBackoff(in.ID, now) {
+			ordered[in.ID] = in.Layers
 		}
 	}
 	return ordered
--- a/internal/gateway/reroute.go
+++ b/internal/gateway/reroute.go
@@ -14,12 +14,15 @@
 
 // reroute replaces the stage of the path that the instance avoided runs, without
 // interrupting the stream. The other instances keep what they have computed. It
-// returns false if no replacement exists, another reroute of the stream is in
+// returns false if no replacement exists, the first instance wants no calls, another reroute of the stream is in
 // progress or the call that changes the path fails.
 func (s *stream) reroute(avoided string) bool {
 	if _, refused := s.g.quarantine.Check(s.parts, time.Now()); refused {
 		return false
 	}
+	if s.g.tracker.InBackoff(s.currentGrant().Path.First().Instance, time.Now()) {
+		return false
+	}
 	g, grantSeq, ok := s.beginReroute(avoided)
 	if !ok {
 		return false
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -101,6 +101,8 @@
 type Notice struct {
 	// Leaving is true if the instance leaves.
 	Leaving bool
+	// Backoff is how long the instance, which refused the call, wants no calls.
+	Backoff time.Duration
 }
 
 // Protocol translates the headers of requests and responses.
