backend: Send a repeat to the same instance on a new connection

Cause: A server may write an earlier refusal once more on a kept connection. A refusal of another id, or of none on a used connection, is skipped. But an engine that refuses a stream may get it again, with the same id, on another kept connection, where its first refusal may come once more.

Change: A request that was sent to an instance before goes to it on a new connection, on which nothing can be late. Ruled out: avoiding engines that refused (they may take the request when others end), and skipping a refusal that bears the id (it may be true).

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -42,6 +42,8 @@
 	// MaxIdle is the maximum idle time of a pooled connection that the exchange
 	// reuses.
 	MaxIdle time.Duration
+	// NewConnection makes the exchange use a new connection.
+	NewConnection bool
 	// Matches reports whether a response belongs to the request. reused is true if
 	// the connection carried other requests before. Other responses are skipped. If
 	// nil, the first response is returned.
@@ -84,7 +86,7 @@
 func (p *Pool) Do(ctx context.Context, address string, r *Request, o Options) (*Exchange, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, o.Deadline)
 	defer cancel()
-	c, err := p.get(dialCtx, address, o.MaxIdle)
+	c, err := p.get(dialCtx, address, o)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -350,3 +350,27 @@
 		assert.Assert(t, err != nil)
 	}
 }
+
+// Guards against a repeat of a request, which carries the same id, on a connection where its
+// first answer may be written once more.
+func TestNewConnectionIsNotReused(t *testing.T) {
+	address := startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := readRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, response("1", fmt.Sprint("connection ", n)))
+		}
+	})
+	p := NewPool()
+	for _, want := range []string{"connection 0", "connection 0"} {
+		body, err := doExchange(t, p, address, "1")
+		assert.NilError(t, err)
+		assert.Equal(t, body, want)
+	}
+	o := testOptions("1")
+	o.NewConnection = true
+	body, err := exchangeWith(t, p, address, "1", o)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "connection 1")
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -127,10 +127,12 @@
 }
 
 // get returns a connection to address: an idle one that has been idle for less
-// than maxIdle, or a new one.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
-	if c := p.takeIdle(address, maxIdle); c != nil {
-		return c, nil
+// than o.MaxIdle, or a new one.
+func (p *Pool) get(ctx context.Context, address string, o Options) (*conn, error) {
+	if !o.NewConnection {
+		if c := p.takeIdle(address, o.MaxIdle); c != nil {
+			return c, nil
+		}
 	}
 	nc, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -41,6 +41,8 @@
 	// counts how often it was sent to an instance.
 	possiblyRanOn []string
 	sends         int
+	// sentTo lists the instances that the request was sent to.
+	sentTo []string
 	// parts are the shared parts of the prompt.
 	parts []quarantine.Part
 	// sentAt and respondedAt are when the latest exchange sent the request and received
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/backend"
@@ -30,14 +31,19 @@
 	if _, refused := c.g.quarantine.Check(c.parts, time.Now()); refused {
 		return nil, errQuarantined
 	}
+	// The repeat of a request carries the same id. On a connection that was used before, an
+	// instance may write its answer to the first attempt once more.
+	first := p.First()
+	o.NewConnection = slices.Contains(c.sentTo, first.Instance)
+	c.sentTo = append(c.sentTo, first.Instance)
 	c.sends++
 	c.sentAt, c.answerEvents = time.Now(), 0
-	asked := c.g.notices.asked(p.First().Instance)
-	x, err := c.g.pool.Do(c.context(), p.First().Address, c.request(p, lastEvent), o)
+	asked := c.g.notices.asked(first.Instance)
+	x, err := c.g.pool.Do(c.context(), first.Address, c.request(p, lastEvent), o)
 	c.respondedAt = time.Now()
 	if err == nil {
 		reply := c.g.protocol.Reply(x.Response)
-		c.recordLimit(p.First().Instance, reply.Limit)
+		c.recordLimit(first.Instance, reply.Limit)
 		c.g.notices.record(asked, reply.Notice)
 	}
 	return x, err
