--- a/internal/chain/reroute.go
+++ b/internal/chain/reroute.go
@@ -22,7 +22,8 @@
 		return g, false
 	}
 	domain := view.Instances[g.Path[0].Instance].Domain
-	list := excludeInstances(t.candidates(view, s, domain, false, now), []string{instance})
+	list, _ := withoutBackoff(t.candidates(view, s, domain, false, now))
+	list = excludeInstances(list, []string{instance})
 	// Stages that are kept need not compute their layers again, so that the shortest part of
 	// the path is tried first.
 	for _, part := range [][2]int{{index, index + 1}, {index, len(g.Path)}, {1, len(g.Path)}} {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,7 +38,8 @@
 	Address string
 	// Domain is the failure domain.
 	Domain string
-	// Draining instances accept no new work.
+	// Draining instances accept no new work: their entry or they themselves say that they
+	// leave.
 	Draining bool
 	// Slots is the maximum number of concurrent requests; 0 means no limit.
 	Slots int
@@ -81,7 +82,7 @@
 
 // Directory maintains the newest view. It is safe for concurrent use.
 type Directory struct {
-	// mu guards revisions, observed, changedAt, removeAt, held and storeRecoveredAt,
+	// mu guards revisions, observed, changedAt, removeAt, held, leaving and storeRecoveredAt,
 	// and serializes changes of view.
 	mu   sync.Mutex
 	view atomic.Pointer[View]
@@ -98,6 +99,8 @@
 	removeAt map[string]time.Time
 	// held holds the entries that are applied later, see staleEntryTime.
 	held map[string]heldRecord
+	// leaving holds the instances that said that they leave.
+	leaving map[string]departure
 	// storeRecoveredAt is the end of the last outage of the store.
 	storeRecoveredAt time.Time
 }
@@ -114,6 +117,7 @@
 	d := &Directory{
 		revisions: make(map[string]revision.Revision), observed: make(map[string]Observation),
 		changedAt: make(map[string]time.Time), removeAt: make(map[string]time.Time), held: make(map[string]heldRecord),
+		leaving: make(map[string]departure),
 	}
 	d.view.Store(newView(map[string]Instance{}))
 	return d
@@ -228,7 +232,8 @@
 }
 
 // Expire removes the missing instances whose grace period after an outage has
-// ended, and old observations, and applies the entries that were held long enough.
+// ended, old observations and old departures, and applies the entries that were held long
+// enough.
 func (d *Directory) Expire(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -244,6 +249,7 @@
 		if !now.Before(at) {
 			delete(next, id)
 			delete(d.removeAt, id)
+			d.recordRemoval(id, now)
 			changed = true
 		}
 	}
@@ -252,6 +258,7 @@
 			delete(d.observed, id)
 		}
 	}
+	d.expireDepartures(now)
 	if changed {
 		d.publish(next)
 	}
@@ -296,6 +303,7 @@
 		if o, ok := d.observed[r.ID]; ok {
 			in.Layers = o.Layers
 		}
+		in.Draining = in.Draining || d.isLeaving(in)
 		next[r.ID] = in
 		delete(d.removeAt, r.ID)
 		return
@@ -308,6 +316,7 @@
 	}
 	delete(next, r.ID)
 	delete(d.removeAt, r.ID)
+	d.recordRemoval(r.ID, now)
 }
 
 // removalTime returns the time at which an instance is removed that is found
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -5,12 +5,14 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/backend"
 	"github.com/nutmegroute/nutmegroute/internal/chain"
 	"github.com/nutmegroute/nutmegroute/internal/events"
 	"github.com/nutmegroute/nutmegroute/internal/feed"
+	"github.com/nutmegroute/nutmegroute/internal/fleet"
 	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/revision"
@@ -23,24 +25,46 @@
 // errQuarantined means that a request was not sent because of a part of its prompt.
 var errQuarantined = errors.New("gateway: a part of the prompt crashes instances")
 
-// exchange sends the request to the first instance of a path. All requests to instances
-// pass through it: first attempts, repeats and continued streams, also those that waited
-// since before a part of their prompts was quarantined. Its errors are errQuarantined and
-// those of backend.Pool.Do.
+// exchange sends the request to the first instance of a path and waits for the head of the
+// response. Its errors are errQuarantined and those of backend.Pool.Do.
 func (c *call) exchange(p chain.Path, lastEvent string, o backend.Options) (*backend.Exchange, error) {
-	if _, refused := c.g.quarantine.Check(c.parts, time.Now()); refused {
-		return nil, errQuarantined
+	first := p.First()
+	asked, err := c.beginSend(first, &o)
+	if err != nil {
+		return nil, err
 	}
-	c.sends++
 	c.sentAt, c.answerEvents = time.Now(), 0
-	x, err := c.g.pool.Do(c.context(), p.First().Address, c.request(p, lastEvent), o)
+	x, err := c.g.pool.Do(c.context(), first.Address, c.request(p, lastEvent), o)
 	c.respondedAt = time.Now()
 	if err == nil {
-		c.recordLimit(p.First().Instance, c.g.protocol.Reply(x.Response).Limit)
+		c.recordReply(asked, x)
 	}
 	return x, err
 }
 
+// beginSend is called before each send of the request: first attempts, repeats, successors
+// and continued streams, also those that waited since before a part of their prompts was
+// quarantined. It returns errQuarantined if the request must not be sent, and otherwise what
+// identifies the instance for recordReply.
+func (c *call) beginSend(first chain.Stage, o *backend.Options) (fleet.Departure, error) {
+	if _, refused := c.g.quarantine.Check(c.parts, time.Now()); refused {
+		return fleet.Departure{}, errQuarantined
+	}
+	// The repeat of a request carries the same id. On a connection that was used before, an
+	// instance may write its answer to the first attempt once more.
+	o.NewConnection = slices.Contains(c.sentTo, first.Instance)
+	c.sentTo = append(c.sentTo, first.Instance)
+	c.sends++
+	return c.g.notices.asked(first.Instance), nil
+}
+
+// recordReply takes over what an instance says of itself in the head of a response.
+func (c *call) recordReply(asked fleet.Departure, x *backend.Exchange) {
+	reply := c.g.protocol.Reply(x.Response)
+	c.recordLimit(asked.ID, reply.Limit)
+	c.g.notices.record(asked, reply.Notice)
+}
+
 // countAnswerEvent counts an event of the latest exchange.
 func (c *call) countAnswerEvent(now time.Time) {
 	if c.answerEvents == 0 {
--- a/internal/gateway/reroute.go
+++ b/internal/gateway/reroute.go
@@ -14,19 +14,22 @@
 
 // reroute replaces the stage of the path that the instance avoided runs, without
 // interrupting the stream. The other instances keep what they have computed. It
-// returns false if no replacement exists, another reroute of the stream is in
-// progress or the call that changes the path fails.
+// returns false if no replacement exists, the first instance wants no calls, another reroute
+// of the stream is in progress or the call that changes the path fails.
 func (s *stream) reroute(avoided string) bool {
 	if _, refused := s.g.quarantine.Check(s.parts, time.Now()); refused {
 		return false
 	}
+	if s.g.tracker.InBackoff(s.currentGrant().Path.First().Instance, time.Now()) {
+		return false
+	}
 	g, grantSeq, ok := s.beginReroute(avoided)
 	if !ok {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(s.context(), rerouteTimeout)
 	defer cancel()
-	err := s.g.engines.Reroute(ctx, g.Path.First().Address, s.inbound.ID, g.Path)
+	err := s.g.control.Reroute(ctx, s.inbound.ID, g.Path)
 	s.endReroute(g, grantSeq, err)
 	s.g.log.Log(events.StreamRerouted).Str("request", s.inbound.ID).Str("avoided", avoided).
 		Str("path", formatPath(g.Path)).Err(err).Send()
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -61,7 +61,11 @@
 		c.g.admission.Release(grant)
 		return false
 	}
-	c.sends++
+	asked, err := c.beginSend(grant.Path.First(), &o)
+	if err != nil {
+		c.g.admission.Release(grant)
+		return false
+	}
 	ctx, cancel := context.WithCancel(c.context())
 	n := &successor{grant: grant, cancel: cancel, done: make(chan struct{}), sentAt: time.Now()}
 	onStall := o.OnStall
@@ -71,22 +75,26 @@
 		}
 		return onStall(waited)
 	}
-	go n.run(ctx, c.g.pool, c.request(grant.Path, lastEvent), o, begin)
+	request := c.request(grant.Path, lastEvent)
+	go func() {
+		defer close(n.done)
+		x, err := c.g.pool.Do(ctx, grant.Path.First().Address, request, o)
+		n.respondedAt = time.Now()
+		if err != nil {
+			n.err = err
+			return
+		}
+		c.recordReply(asked, x)
+		n.read(x, begin)
+	}()
 	c.successor = n
 	c.logEvent(events.RequestRetried).Str("instance", c.lastPath.First().Instance).Bool("silent", true).
 		Str("successor", grant.Path.First().Instance).Int("events", c.eventCount).Send()
 	return true
 }
 
-// run sends the request and reads the response until it has begun or failed.
-func (n *successor) run(ctx context.Context, p *backend.Pool, r *backend.Request, o backend.Options, begin beginFunc) {
-	defer close(n.done)
-	x, err := p.Do(ctx, n.grant.Path.First().Address, r, o)
-	n.respondedAt = time.Now()
-	if err != nil {
-		n.err = err
-		return
-	}
+// read reads the response until it has begun or failed.
+func (n *successor) read(x *backend.Exchange, begin beginFunc) {
 	n.exchange = x
 	n.begun, n.err = begin(n)
 	if n.err != nil {
@@ -120,7 +128,6 @@
 	if n.exchange != nil && n.err == nil {
 		reply, status := c.g.protocol.Reply(n.exchange.Response), n.exchange.Response.StatusCode
 		line.Int("status", status).Bool("not_run", reply.NotExecuted).Send()
-		c.recordLimit(instance, reply.Limit)
 		if reply.NotExecuted {
 			c.recordRefusal(path, reply, status)
 			return
@@ -151,9 +158,6 @@
 	<-n.done
 	c.sentAt, c.respondedAt, c.answerEvents = n.sentAt, n.respondedAt, 0
 	instance := n.grant.Path.First().Instance
-	if n.exchange != nil {
-		c.recordLimit(instance, c.g.protocol.Reply(n.exchange.Response).Limit)
-	}
 	c.logEvent(events.SuccessorUsed).Str("instance", instance).Bool("begun", n.begun).Err(n.err).Send()
 	return n
 }
