--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -15,7 +15,7 @@
 		"Check other log lines of the instance; replace the instance if it fails often.")
 	StreamStalled = define(1803, "stream-stalled", zerolog.WarnLevel,
 		"A stream stalled because an instance of its path failed or is slow; it is moved to another path if possible.",
-		"Check the instance named in the field fault or the field slow.")
+		"Check the instance named in the field fault, slow or silent.")
 	StreamAborted = define(1804, "stream-cut", zerolog.ErrorLevel,
 		"A stream ended before it was complete; the client's connection was closed.",
 		"Check the reason and the request-repeated lines of the same request.")
@@ -67,6 +67,20 @@
 	InstanceBackoff = define(1831, "instance-backoff", zerolog.InfoLevel,
 		"An instance refused a call and named a time for which it wants none from this gateway (wait_ms, as it was named): no "+
 			"requests, reports or orders. One minute at most is kept.", "If it recurs, check the instance: it is overloaded.")
+	ConnectionClosedIdle = define(1840, "idle-connection-closed", zerolog.InfoLevel,
+		"A client's connection was closed because it had been idle for longer than the configuration allows (idle_ms, limit_ms).",
+		noAction)
+	RequestUnfinished = define(1841, "request-unfinished", zerolog.ErrorLevel,
+		"A request was still in progress when the time of a graceful shutdown was over; its connection ends with the process.",
+		"Allow more time for the shutdown, or check the instances in the request's path.")
+	SuccessorUsed = define(1842, "successor-used", zerolog.InfoLevel,
+		"Another instance takes over a request whose instance is silent or failed. The field begun tells whether it had sent the "+
+			"next event or the whole response by then.", noAction)
+	SuccessorDropped = define(1843, "successor-dropped", zerolog.InfoLevel,
+		"A silent instance went on by itself; the request that was sent to another instance meanwhile was cancelled.", noAction)
+	SuccessorFailed = define(1844, "successor-failed", zerolog.InfoLevel,
+		"Another instance could not take over a request whose instance is silent; the request goes on waiting for the first.",
+		noAction)
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,10 +1,16 @@
 package gateway
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/events"
 )
 
 const (
@@ -12,54 +18,223 @@
 	// configuration sets a limit.
 	defaultIdleLimit = 30 * time.Second
 	// idleMargin is added to the limit: clients reuse a connection until
-	// shortly before the limit, and learn of a changed limit late.
+	// shortly before the limit.
 	idleMargin = 2 * time.Second
+	// limitLearningTime is how long clients may still use the idle limit of a configuration
+	// that was replaced.
+	limitLearningTime = 5 * time.Second
 )
 
-// idleConnections closes client connections that have been idle for longer than
-// the limit of the configuration in force. Unlike http.Server.IdleTimeout, this
-// limit may change while the server runs.
-type idleConnections struct {
-	// mu guards idleSince.
-	mu        sync.Mutex
-	idleSince map[net.Conn]time.Time
+// idleLimits holds the idle limit in force and those that clients may still use.
+type idleLimits struct {
+	// mu guards current and replaced.
+	mu       sync.Mutex
+	current  time.Duration
+	replaced []replacedLimit
+}
+
+// replacedLimit is an idle limit that was replaced at a time.
+type replacedLimit struct {
+	limit time.Duration
+	at    time.Time
+}
+
+// set replaces the limit in force. A limit of 0 is none, for which defaultIdleLimit applies.
+func (l *idleLimits) set(limit time.Duration, now time.Time) {
+	if limit <= 0 {
+		limit = defaultIdleLimit
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limit == l.current {
+		return
+	}
+	if l.current > 0 {
+		l.replaced = append(l.replaced, replacedLimit{l.current, now})
+	}
+	l.current = limit
+}
+
+// longest returns the longest limit that clients may use.
+func (l *idleLimits) longest(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.replaced = slices.DeleteFunc(l.replaced, func(r replacedLimit) bool { return now.Sub(r.at) > limitLearningTime })
+	limit := l.current
+	if limit == 0 {
+		limit = defaultIdleLimit
+	}
+	for _, r := range l.replaced {
+		limit = max(limit, r.limit)
+	}
+	return limit
+}
+
+// clientConns holds the open connections of clients. Unlike http.Server, which closes a
+// connection that has read a part of a request as long as the head is incomplete, it closes
+// only connections on which nothing was read since the last response. Unlike
+// http.Server.IdleTimeout, the limit may change while the server runs. It is safe for
+// concurrent use.
+type clientConns struct {
+	// mu guards the fields below.
+	mu       sync.Mutex
+	listener net.Listener
+	open     map[*clientConn]struct{}
+}
+
+func newClientConns() *clientConns {
+	return &clientConns{open: make(map[*clientConn]struct{})}
+}
+
+// listen returns a listener for the http.Server of the clients, which accepts their
+// connections from another one.
+func (l *clientConns) listen(from net.Listener) net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listener = from
+	return clientListener{from}
+}
+
+// stopAccepting closes the listener. Open connections stay open.
+func (l *clientConns) stopAccepting() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil {
+		// An error means that it is closed.
+		_ = l.listener.Close()
+	}
+}
+
+// closeUnused closes the connections on which nothing was read since the last response, and
+// reports whether no connection is open any more.
+func (l *clientConns) closeUnused(now time.Time) bool {
+	open := l.list()
+	for _, c := range open {
+		c.closeIdle(-1, now)
+	}
+	return len(open) == 0
 }
 
-func newIdleConnections() *idleConnections {
-	return &idleConnections{idleSince: make(map[net.Conn]time.Time)}
+// clientListener accepts the connections of clients as clientConn.
+type clientListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l clientListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return &clientConn{TCPConn: tcp}, nil
 }
 
 // track records the state of a connection; it is the ConnState callback of the
 // http.Server.
-func (i *idleConnections) track(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if state == http.StateIdle {
-		i.idleSince[c] = time.Now()
+func (l *clientConns) track(c net.Conn, state http.ConnState) {
+	conn, ok := c.(*clientConn)
+	if !ok {
 		return
 	}
-	delete(i.idleSince, c)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		l.open[conn] = struct{}{}
+	case http.StateIdle:
+		conn.setIdle(time.Now())
+	case http.StateClosed, http.StateHijacked:
+		delete(l.open, conn)
+	}
 }
 
-// closeIdle closes the connections that have been idle for longer than limit.
-func (i *idleConnections) closeIdle(limit time.Duration, now time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.idleSince {
-		if now.Sub(since) > limit {
-			_ = c.Close()
-			delete(i.idleSince, c)
+// list returns the open connections.
+func (l *clientConns) list() []*clientConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]*clientConn, 0, len(l.open))
+	for c := range l.open {
+		list = append(list, c)
+	}
+	return list
+}
+
+// closeIdle closes the connections that have been idle for longer than limit, and calls
+// onClose for each.
+func (l *clientConns) closeIdle(limit time.Duration, now time.Time, onClose func(c net.Conn, idle time.Duration)) {
+	for _, c := range l.list() {
+		if idle, ok := c.closeIdle(limit, now); ok {
+			onClose(c, idle)
 		}
 	}
 }
 
-// idleLimit returns how long a client's connection may be idle.
-func (g *Gateway) idleLimit() time.Duration {
-	limit := defaultIdleLimit
-	if t := g.activeTable.Get(); t != nil && t.Limits().IdleTimeout > 0 {
-		limit = t.Limits().IdleTimeout
+// clientConn is a connection of a client. Between two requests it can be closed without the
+// loss of one: what was read decides, and a close ends the read in progress instead of the
+// connection.
+type clientConn struct {
+	*net.TCPConn
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// idle is true from the end of a response until something is read, idleSince when it
+	// began.
+	idle      bool
+	idleSince time.Time
+	// closing is true once an idle connection is to be closed.
+	closing bool
+}
+
+func (c *clientConn) setIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.idleSince = true, now
+}
+
+// closeIdle makes the read in progress return io.EOF if the connection has been idle for
+// longer than limit, so that the server closes it. It returns how long it has been idle, and
+// whether it will be closed.
+func (c *clientConn) closeIdle(limit time.Duration, now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := now.Sub(c.idleSince)
+	if !c.idle || c.closing || idle <= limit {
+		return idle, false
+	}
+	c.closing = true
+	// An error means that the connection is closed.
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	return idle, true
+}
+
+// Read implements io.Reader. Bytes that arrive end a close in progress.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.idle = false
+		if c.closing {
+			c.closing = false
+			_ = c.SetReadDeadline(time.Time{})
+		}
+		return n, err
+	}
+	if c.closing && errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, io.EOF
 	}
-	return limit + idleMargin
+	return n, err
+}
+
+// closeIdleConnections closes the client connections that have been idle for too long.
+func (g *Gateway) closeIdleConnections(now time.Time) {
+	limit := g.idleLimits.longest(now) + idleMargin
+	g.clients.closeIdle(limit, now, func(c net.Conn, idle time.Duration) {
+		g.log.LogRateLimited(events.ConnectionClosedIdle).Stringer("client", c.RemoteAddr()).
+			Dur("idle_ms", idle).Dur("limit_ms", limit).Send()
+	})
 }
 
 // headerBytes returns the size of the header fields of a request.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -31,20 +31,36 @@
 	if _, refused := c.g.quarantine.Check(c.parts, time.Now()); refused {
 		return nil, errQuarantined
 	}
-	// The repeat of a request carries the same id. On a connection that was used before, an
-	// instance may write its answer to the first attempt once more.
 	first := p.First()
-	o.NewConnection = slices.Contains(c.sentTo, first.Instance)
-	c.sentTo = append(c.sentTo, first.Instance)
-	c.sends++
+	o = c.countSend(first.Instance, o)
 	c.sentAt, c.answerEvents = time.Now(), 0
-	asked := c.g.notices.asked(first.Instance)
-	x, err := c.g.pool.Do(c.context(), first.Address, c.request(p, lastEvent), o)
+	x, err := c.g.send(c.context(), first, c.request(p, lastEvent), o)
 	c.respondedAt = time.Now()
 	if err == nil {
-		reply := c.g.protocol.Reply(x.Response)
-		c.recordLimit(first.Instance, reply.Limit)
-		c.g.notices.record(asked, reply.Notice)
+		c.recordLimit(first.Instance, c.g.protocol.Reply(x.Response).Limit)
+	}
+	return x, err
+}
+
+// countSend counts a request that is sent to an instance, and returns the options for it. The
+// repeat of a request carries the same id: on a connection that was used before, the instance
+// may write its answer to the first attempt once more.
+func (c *call) countSend(instance string, o backend.Options) backend.Options {
+	o.NewConnection = slices.Contains(c.sentTo, instance)
+	c.sentTo = append(c.sentTo, instance)
+	c.sends++
+	return o
+}
+
+// send sends a request to the first instance of a path and takes over what the instance says
+// of itself in its answer. It is safe for concurrent use.
+func (g *Gateway) send(
+	ctx context.Context, first chain.Stage, r *backend.Request, o backend.Options,
+) (*backend.Exchange, error) {
+	asked := g.notices.asked(first.Instance)
+	x, err := g.pool.Do(ctx, first.Address, r, o)
+	if err == nil {
+		g.notices.record(asked, g.protocol.Reply(x.Response).Notice)
 	}
 	return x, err
 }
