--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 )
 
 // startedAt returns a record of an instance that started at a time.
-func startedAt(startedMS int64, revision uint64) Record {
-	return newRecord("a", revision, func(in *Instance) { in.StartedMS = startedMS })
+func startedAt(startedMS int64, at revision.Revision) Record {
+	return newRecord("a", at, func(in *Instance) { in.StartedMS = startedMS })
 }
 
 // Guards against an instance that said that it leaves and counts as ready again while its
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -19,6 +19,7 @@
 	"github.com/nutmegroute/nutmegroute/internal/process"
 	"github.com/nutmegroute/nutmegroute/internal/quarantine"
 	"github.com/nutmegroute/nutmegroute/internal/relay"
+	"github.com/nutmegroute/nutmegroute/internal/revision"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
 
@@ -67,7 +68,7 @@
 	startFeed(ctx, g, group, server, instanceFeed, g.platform.Instances, &instanceHandler{g},
 		feed.Options{Wait: storeWatchWait, Pause: storeWatchPause},
 		func(r fleet.Record) (string, bool) { return r.ID, r.Instance == nil })
-	startFeed(ctx, g, group, server, quarantineFeed, g.platform.Quarantines, &quarantineHandler{g: g, revisions: make(map[quarantine.Part]uint64)},
+	startFeed(ctx, g, group, server, quarantineFeed, g.platform.Quarantines, &quarantineHandler{g: g, revisions: make(map[quarantine.Part]revision.Revision)},
 		feed.Options{Wait: rareWatchWait, Pause: storeWatchPause},
 		func(r QuarantineRecord) (string, bool) { return string(r.Part), r.Removed })
 	if g.settings.PeerPort == 0 {
@@ -137,13 +138,16 @@
 	return r == nil || f.index == gatewayFeed || now.Sub(f.g.startedAt) > peerSettleTime || r.FeedSourcesKnown(now)
 }
 
-// LatestChange implements relay.Guide.
-func (f *feedGuide) LatestChange() uint64 {
-	r := f.g.reporter.Load()
-	if r == nil {
-		return 0
+// LatestChange implements relay.Guide. When one feed has read a new era, watches of the
+// others from a former one are given up, which the store may leave waiting.
+func (f *feedGuide) LatestChange() revision.Revision {
+	f.g.mu.Lock()
+	latest := revision.New(f.g.era, 0)
+	f.g.mu.Unlock()
+	if r := f.g.reporter.Load(); r != nil {
+		latest = max(latest, r.LatestChange(f.index))
 	}
-	return r.LatestChange(f.index)
+	return latest
 }
 
 // SourceChanged implements relay.Guide.
@@ -151,9 +155,11 @@
 	f.g.log.Log(events.FeedSourceChanged).Str("feed", feedNames[f.index]).Str("relay", peer).Err(err).Send()
 }
 
-// reportChange makes the latest change of a feed known to the other gateways.
-func (g *Gateway) reportChange(feedIndex int, revision uint64) {
+// reportChange makes the latest change of a feed known to the other gateways, and its era
+// to this one.
+func (g *Gateway) reportChange(feedIndex int, latest revision.Revision) {
+	g.observeEra(latest.Era())
 	if r := g.reporter.Load(); r != nil {
-		r.SetLatestChange(feedIndex, revision)
+		r.SetLatestChange(feedIndex, latest)
 	}
 }
