placement: Ignore instances that claim layers the model lacks

Cause: an instance whose entry claims layers beyond the model, as another writer can leave it, counted as a holder of all layers of the model in its range: with layers 0 to 81 of 80, no layer counted as missing, so none was placed, and callers of the model got 503 ("chain: no room"). Negative ranges had the same effect. Change: paths and the placement leave out an instance whose range is not within the model. The decoder of the store's objects can't know the model.

--- a/internal/chain/path.go
+++ b/internal/chain/path.go
@@ -72,7 +72,8 @@
 	neighbours := t.neighbours(now)
 	maxReserved := max(maxReservedShare-float64(neighbours)*neighbourMargin, minReservedShare)
 	for _, in := range view.Instances {
-		if in.Service != s.Name || in.Domain != domain || in.Draining || in.Layers.Len() == 0 {
+		if in.Service != s.Name || in.Domain != domain || in.Draining || in.Layers.Len() == 0 ||
+			!s.Model.Has(in.Layers.From, in.Layers.To) {
 			continue
 		}
 		accelerator, ok := s.Model.Accelerators[in.Accelerator]
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -94,7 +94,7 @@
 	p := &plan{model: m, held: make(map[string]fleet.LayerRange), loading: pending}
 	for _, in := range instances {
 		accelerator, ok := m.Accelerators[in.Accelerator]
-		if !ok {
+		if !ok || !m.Has(in.Layers.From, in.Layers.To) {
 			continue
 		}
 		if p.fastest == 0 || accelerator.StepFactor < p.fastest {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -100,6 +100,10 @@
 	Accelerators  map[string]Accelerator
 }
 
+// Has reports whether the model has the layers from to to (exclusive), which may be none.
+// An instance that claims others can't be used: its record comes from another writer.
+func (m *Model) Has(from, to int) bool { return 0 <= from && from <= to && to <= m.Layers }
+
 // Service is a set of interchangeable instances, or the set of instances that
 // together hold the layers of a model.
 type Service struct {
