gateway: Log the store's entries that can't be used

Cause: operators did not see why a server gets no requests if its entry is odd, nor that another program writes to the store. Change: event NR1830 for each rejected entry, at most one line a second, with the number of lines left out. A test of a whole deployment leaves odd objects of four kinds before and after the start. Result: TestGatewayFollowsTheStoreBesideOddObjects passes (1.5 s). TestRejectedEntriesAreLogged passes.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -61,6 +61,11 @@
 	InstanceLimit = define(1824, "instance-limit", zerolog.InfoLevel,
 		"An instance named another limit of the requests a second that it takes from all gateways together, or named none any "+
 			"more (unlimited).", "If it lasts, check the instance: it is in need.")
+	EntryRejected = define(1830, "entry-rejected", zerolog.WarnLevel,
+		"An entry of the platform's store can't be used: its fields are missing, of another type or out of range, or it can't be "+
+			"read. A server whose entry is rejected gets no requests; the other entries are used. The field entry is empty if its "+
+			"name can't be read, withheld counts the lines that were left out.",
+		"Find out which program wrote the entry, and remove it.")
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -82,7 +82,7 @@
 // startFeed follows one kind of record in the platform's store.
 func startFeed[R any](ctx context.Context, g *Gateway, group *errgroup.Group, server *relay.Server, index int,
 	store feed.Source[R], handler feed.Handler[R], o feed.Options, describe relay.Describe[R]) {
-	cache := relay.NewCache(handler, describe)
+	cache := relay.NewCache(&rejectionLogger[R]{handler, feedNames[index], g.log}, describe)
 	relay.AddFeed(server, feedNames[index], cache)
 	source := relay.NewSource(feedNames[index], store, &feedGuide{g, index}, o.Wait, backend.NewDialer().DialContext)
 	group.Go(func() error {
