gateway: Let nothing but its events continue a stream

Cause: when a stream had begun and broke off, a response with status 200 of the next instance was taken for its rest, whatever it held. Callers got JSON or the text of an error, at times with its whole HTTP head, between the events, or a stream that ended as if it were complete: after an empty body, or one with only events that they had. Change (stream_response.go, called from tryPath, relay and forwardEvent): - a response that continues a stream has the media type that the client was told; - each line of an event is empty, a comment or begins with a name in lower case, in every exchange; so a status line, headers, JSON and most texts are no events; - an event with data that continues a stream with ids has one; - a response that continues a stream, or holds events that the client has, is not its end without a new event. What fails a check is handled like a broken connection: another path within the route's attempts and the retry budget, else the client's connection is cut. A stream that broke off after its last event is now cut too, since an instance that knows nothing of it answers likewise; the client resumes and is then told the end (TestClientResumesStream). Ruled out: a check of the type of the first response, which has no other to be compared with. An event without an id in the first response is forwarded as before. Responses with another status were not forwarded before either.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,6 +46,11 @@
 	lastEvent string
 	// lastSent is when an event was last sent to the client.
 	lastSent time.Time
+	// continuation is true in an exchange that continues a response which has begun,
+	// resumedAfter is lastEvent at its start, and skippedEvents is true if it sent an event
+	// that the client has.
+	continuation, skippedEvents bool
+	resumedAfter                string
 
 	// mu guards grant, reroutePending, released, previousGrant, grantSeq and
 	// nextReroute, because other goroutines than the one that serves the stream
@@ -133,6 +138,7 @@
 // stream. It returns true if another path should be tried.
 func (s *stream) tryPath(path chain.Path) bool {
 	first := path.First()
+	s.beginExchange()
 	options := backend.Options{
 		Deadline: s.deadline, MaxIdle: maxIdleOnce, Matches: s.belongsToCall, StallInterval: stallCheckInterval,
 		OnStall: s.onStall,
@@ -153,6 +159,10 @@
 		x.Abort()
 		return s.handleIncomplete(first, errors.Join(backend.ErrExchangeFailed, errNotAuthentic))
 	}
+	if err := s.checkResponse(x.Response); err != nil {
+		x.Abort()
+		return s.handleIncomplete(first, err)
+	}
 	s.sendHeaders(x.Response)
 	err = s.relay(x)
 	if err == nil {
@@ -200,17 +210,13 @@
 	return false
 }
 
-// relay forwards whole events until the stream is complete. A stream without any event
-// that ends with its connection is not complete: the instance may have ended.
+// relay forwards whole events until the stream is complete.
 func (s *stream) relay(x *backend.Exchange) error {
 	r := bufio.NewReaderSize(x.Response.Body, eventBufferBytes)
 	for {
 		event, id, err := readEvent(r)
 		if err == io.EOF && len(event) == 0 {
-			if s.answerEvents == 0 && x.EndsWithConnection() {
-				return errors.Join(backend.ErrExchangeFailed, io.ErrUnexpectedEOF)
-			}
-			return nil
+			return s.checkEnd(x)
 		}
 		if err != nil {
 			return errors.Join(backend.ErrExchangeFailed, err)
@@ -228,9 +234,13 @@
 // forwardEvent sends one event to the client unless the client already has it, and
 // reports whether it did.
 func (s *stream) forwardEvent(event []byte, id string) (bool, error) {
+	if err := s.checkEvent(event, id); err != nil {
+		return false, err
+	}
 	if id != "" {
 		switch compareEventIDs(id, s.lastEvent) {
 		case eventAlreadySent:
+			s.skippedEvents = true
 			return false, nil
 		case eventAfterGap:
 			return false, errors.Join(backend.ErrExchangeFailed, errEventMissing)
