gateway: Don't continue streams without ids

Cause: a stream on a resumable route whose events have no ids was sent again from its start when it broke off, since the gateway had no id to continue after. Callers got its first events twice. Change: once the client has an event with data and no id, no other instance runs the request; the connection is cut. Result: TestStreamWithoutIDsIsNotContinued failed before and passes now, as do all tests of internal/gateway.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,6 +55,9 @@
 	// between two.
 	eventCount             int
 	firstEvent, longestGap time.Duration
+	// unnumbered is true if the client has got an event without an id. Such a stream can't
+	// be continued: what the client has is not known to another instance.
+	unnumbered bool
 	// sentStatus is the status code sent to the client, 0 before that.
 	sentStatus int
 	// lastPath (the latest path) and waited (the total waiting time) are logged
@@ -296,7 +299,7 @@
 // An instance that only seems lost is counted, as it may still be running the
 // request.
 func (c *call) attemptsLeft() bool {
-	if !c.route.Repeatable() {
+	if !c.route.Repeatable() || c.unnumbered {
 		return false
 	}
 	view := c.g.directory.View()
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -298,6 +298,19 @@
 	}
 }
 
+// Guards against a stream without ids that is repeated from its start after the client
+// has received some of it.
+func TestStreamWithoutIDsIsNotContinued(t *testing.T) {
+	in := &rawInstance{respond: func(string) string {
+		return headStream + chunked + chunks("data: a\n\ndata: b\n\n", false)
+	}}
+	other := &rawInstance{respond: in.respond}
+	body, _, err := readStream(t, newContinuationGateway(t, 3, in, other), "")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, body, "data: a\n\ndata: b\n\n")
+	assert.Equal(t, len(in.requests())+len(other.requests()), 1)
+}
+
 // Guards against a client that resumes a stream and is told that it is complete by an
 // instance that sent only events which the client has, and against one that is not told
 // so if the stream has no more events.
--- a/internal/gateway/stream_response.go
+++ b/internal/gateway/stream_response.go
@@ -62,6 +62,7 @@
 	if s.continuation && s.lastEvent != "" && hasData && id == "" {
 		return errors.Join(backend.ErrExchangeFailed, errNotEvent)
 	}
+	s.unnumbered = s.unnumbered || hasData && id == ""
 	return nil
 }
 
