standin: Serve settings of stand-ins by one function

Cause: the stand-ins of the platform and of a plain service had the same handlers for reading and replacing their faults or options. Change: httpjson.HandleValue. The controls of the stand-in engine stay apart: their PUT answers with the new value. Result: go test ./internal/standin/... passes.

--- a/internal/standin/httpjson/httpjson.go
+++ b/internal/standin/httpjson/httpjson.go
@@ -29,6 +29,19 @@
 	return false
 }
 
+// HandleValue serves a value under a path: GET returns it, PUT replaces it by that of a body
+// of at most limit bytes.
+func HandleValue[T any](mux *http.ServeMux, path string, limit int64, get func() T, set func(T)) {
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) { Write(w, http.StatusOK, get()) })
+	mux.HandleFunc("PUT "+path, func(w http.ResponseWriter, r *http.Request) {
+		var v T
+		if Read(w, r, limit, &v) {
+			set(v)
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+}
+
 // Error responds with status and a JSON error message.
 func Error(w http.ResponseWriter, status int, message string) {
 	Write(w, status, map[string]string{"error": message})
--- a/internal/standin/platform/http.go
+++ b/internal/standin/platform/http.go
@@ -53,16 +53,7 @@
 	})
 	mux.HandleFunc("GET "+api.PathObjects, s.withReadFaults(s.serveList))
 	mux.HandleFunc("GET "+api.PathWatch, s.withReadFaults(s.serveWatch))
-	mux.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) {
-		httpjson.Write(w, http.StatusOK, s.Faults())
-	})
-	mux.HandleFunc("PUT "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
-		var f Faults
-		if httpjson.Read(w, r, maxBodyBytes, &f) {
-			s.SetFaults(f)
-			w.WriteHeader(http.StatusNoContent)
-		}
-	})
+	httpjson.HandleValue(mux, PathFaults, maxBodyBytes, s.Faults, s.SetFaults)
 	mux.HandleFunc("GET "+PathCounters, func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, s.Counters())
 	})
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -136,16 +136,7 @@
 	mux.HandleFunc("GET "+PathExecutions, func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, s.Executions())
 	})
-	mux.HandleFunc("GET "+PathOptions, func(w http.ResponseWriter, _ *http.Request) {
-		httpjson.Write(w, http.StatusOK, s.Options())
-	})
-	mux.HandleFunc("PUT "+PathOptions, func(w http.ResponseWriter, r *http.Request) {
-		var o Options
-		if httpjson.Read(w, r, maxBodyBytes, &o) {
-			s.SetOptions(o)
-			w.WriteHeader(http.StatusNoContent)
-		}
-	})
+	httpjson.HandleValue(mux, PathOptions, maxBodyBytes, s.Options, s.SetOptions)
 	mux.HandleFunc("POST /{operation}", s.serveCall)
 	mux.HandleFunc("GET /{operation}", s.serveCall)
 	return mux
