--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -85,6 +85,11 @@
 	InstanceBackoff = define(1831, "instance-backoff", zerolog.InfoLevel,
 		"An instance refused a call and named a time for which it wants none from this gateway (wait_ms, as it was named): no "+
 			"requests, reports or orders. One minute at most is kept.", "If it recurs, check the instance: it is overloaded.")
+	EntryRejected = define(1832, "entry-rejected", zerolog.WarnLevel,
+		"An entry of the platform's store can't be used: its fields are missing, of another type or out of range, or it can't be "+
+			"read. A server whose entry is rejected gets no requests; the other entries are used. The field entry is empty if its "+
+			"name can't be read, withheld counts the lines that were left out.",
+		"Find out which program wrote the entry, and remove it.")
 	ListenerError = define(1816, "listener-fault", zerolog.WarnLevel,
 		"The HTTP server reported an error of a client's connection.", noAction)
 	SettingsChecked = define(1817, "settings-reloaded", zerolog.InfoLevel,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -57,6 +57,9 @@
 	// between two.
 	eventCount             int
 	firstEvent, longestGap time.Duration
+	// unnumbered is true if the client has got an event without an id. Such a stream can't
+	// be continued: what the client has is not known to another instance.
+	unnumbered bool
 	// sentStatus is the status code sent to the client, 0 before that.
 	sentStatus int
 	// successor is a second exchange beside a silent one, or nil.
@@ -300,7 +303,7 @@
 // An instance that only seems lost is counted, as it may still be running the
 // request.
 func (c *call) attemptsLeft() bool {
-	if !c.route.Repeatable() {
+	if !c.route.Repeatable() || c.unnumbered {
 		return false
 	}
 	view := c.g.directory.View()
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -47,13 +47,17 @@
 }
 
 // skipUntilNew discards comments and the events up to the one with id last. The end of the
-// stream counts as new. Its errors are those of readEvent and errEventMissing.
+// stream counts as new. Its errors are those of readEvent, errEventMissing and errNotEvent.
 func (e *eventReader) skipUntilNew(last string) error {
 	for {
 		event, id, err := readEvent(e.r)
 		if err != nil && (err != io.EOF || len(event) > 0) {
 			return err
 		}
+		hasData, invalid := parseEvent(event)
+		if invalid != nil || last != "" && hasData && id == "" {
+			return errNotEvent
+		}
 		relation := eventNext
 		if id != "" {
 			relation = compareEventIDs(id, last)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,6 +49,11 @@
 	lastEvent string
 	// lastSent is when an event was last sent to the client.
 	lastSent time.Time
+	// continuation is true in an exchange that continues a response which has begun,
+	// resumedAfter is lastEvent at its start, and skippedEvents is true if it sent an event
+	// that the client has.
+	continuation, skippedEvents bool
+	resumedAfter                string
 
 	// mu guards grant, reroutePending, released, previousGrant, grantSeq and
 	// nextReroute, because other goroutines than the one that serves the stream
@@ -137,6 +142,7 @@
 // stream. It returns true if another path should be tried.
 func (s *stream) tryPath(path chain.Path) bool {
 	first := path.First()
+	s.beginExchange()
 	x, events, err := s.open(path)
 	if err != nil {
 		return s.handleIncomplete(first, err)
@@ -153,6 +159,10 @@
 		x.Abort()
 		return s.handleIncomplete(first, errors.Join(backend.ErrExchangeFailed, errNotAuthentic))
 	}
+	if err := s.checkResponse(x.Response); err != nil {
+		x.Abort()
+		return s.handleIncomplete(first, err)
+	}
 	err = s.relay(x, events)
 	if err == nil {
 		x.Finish()
@@ -222,14 +232,13 @@
 	return false
 }
 
-// relay forwards whole events until the stream is complete. A stream without any event
-// that ends with its connection is not complete: the instance may have ended.
+// relay forwards whole events until the stream is complete.
 func (s *stream) relay(x *backend.Exchange, events *eventReader) error {
 	for {
 		event, id, err := events.read()
 		if err == io.EOF && len(event) == 0 {
-			if s.answerEvents == 0 && x.EndsWithConnection() {
-				return errors.Join(backend.ErrExchangeFailed, io.ErrUnexpectedEOF)
+			if err := s.checkEnd(x); err != nil {
+				return err
 			}
 			s.sendHeaders(x.Response)
 			return nil
@@ -252,9 +261,13 @@
 // reports whether it did. The headers of the response go with the first event: until then
 // the request can still be refused, or answered by another instance.
 func (s *stream) forwardEvent(x *backend.Exchange, event []byte, id string) (bool, error) {
+	if err := s.checkEvent(event, id); err != nil {
+		return false, err
+	}
 	if id != "" {
 		switch compareEventIDs(id, s.lastEvent) {
 		case eventAlreadySent:
+			s.skippedEvents = true
 			return false, nil
 		case eventAfterGap:
 			return false, errors.Join(backend.ErrExchangeFailed, errEventMissing)
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -197,10 +197,12 @@
 // beginStream returns the beginFunc of a stream: the successor takes over with the first
 // event after lastEvent.
 func (s *stream) beginStream(lastEvent string) beginFunc {
+	begun, contentType := s.sentStatus != 0, mediaType(s.w.Header())
 	return func(n *successor) (bool, error) {
 		n.events = newEventReader(n.exchange.Response.Body)
 		reply := s.g.protocol.Reply(n.exchange.Response)
-		if reply.NotExecuted || n.exchange.Response.StatusCode != http.StatusOK || !authentic(n.exchange.Response, reply) {
+		if reply.NotExecuted || n.exchange.Response.StatusCode != http.StatusOK || !authentic(n.exchange.Response, reply) ||
+			begun && mediaType(n.exchange.Response.Header) != contentType {
 			return false, nil
 		}
 		if err := n.events.skipUntilNew(lastEvent); err != nil {
