gateway: Replace a successor that is silent too

Cause: while a successor was pending, the stall function only asked whether it had begun. Found in the review. Evidence: TestStreamLeavesASilentSuccessor and TestRequestLeavesASilentSuccessor fail before this change. Change: a successor that is silent for 0.6 s (streams) or twice the latency objective is ended if another one is granted at once and the attempts of the route allow it. The first exchange is kept. Result: go test -race ./internal/gateway -run 'Silent|Leaves' passes.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -272,7 +272,7 @@
 // another instance, while the exchange is kept until one of them has the whole response.
 func (c *call) onSilence(time.Duration) (again time.Duration, err error) {
 	if c.successor != nil {
-		return c.checkSuccessor()
+		return c.checkSuccessor(responseTimeoutFactor*c.route.LatencyObjective, c.startBufferedSuccessor)
 	}
 	first := c.lastPath.First().Instance
 	if !slices.Contains(c.avoid, first) {
@@ -280,13 +280,18 @@
 		c.addAvoided(first)
 		c.g.tracker.RecordFailure(first, time.Now())
 	}
-	req := admitRequest{service: c.service, demand: c.demand(), urgency: c.urgency}
-	if !c.attemptsLeft() || !c.startSuccessor(req, c.inbound.LastEvent, c.bufferedOptions(), c.beginBuffered) {
+	if !c.attemptsLeft() || !c.startBufferedSuccessor() {
 		return 0, nil
 	}
 	return successorPollInterval, nil
 }
 
+// startBufferedSuccessor starts a successor and reports whether it did.
+func (c *call) startBufferedSuccessor() bool {
+	req := admitRequest{service: c.service, demand: c.demand(), urgency: c.urgency}
+	return c.startSuccessor(req, c.inbound.LastEvent, c.bufferedOptions(), c.beginBuffered)
+}
+
 // belongsToCall reports whether a response belongs to this call. A response that
 // carries no ID counts as belonging to it only if it can't be a late one for an earlier
 // request of the connection.
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -140,3 +140,34 @@
 	resp := get(t, g)
 	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
 }
+
+// Guards against a stream that waits for its deadline because the first successor is silent too.
+func TestStreamLeavesASilentSuccessor(t *testing.T) {
+	route := resumableRoute
+	route.MaxAttempts = 4
+	silent := func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body); <-r.Context().Done() }
+	g := newGatewayWithRepeats(t, route, http.HandlerFunc(silent))
+	addInstance(t, g, "j", 1, http.HandlerFunc(silent))
+	addInstance(t, g, "k", 8, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writePieces(w, r, streamPieces, 99)
+	}))
+	begun := time.Now()
+	resp := get(t, g)
+	body, err := io.ReadAll(resp.Body)
+	t.Logf("%v %v %d %q", time.Since(begun), err, resp.StatusCode, body)
+	assert.Equal(t, string(body), wholeStream)
+	assert.Assert(t, time.Since(begun) < 5*time.Second)
+}
+
+// Guards against an idempotent request that waits for its deadline because the first successor is silent too.
+func TestRequestLeavesASilentSuccessor(t *testing.T) {
+	route := routing.Route{Kind: routing.Idempotent, Timeout: 5 * time.Second, MaxAttempts: 4, LatencyObjective: 100 * time.Millisecond}
+	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	g := newGatewayWithRepeats(t, route, http.HandlerFunc(silent))
+	addInstance(t, g, "j", 1, http.HandlerFunc(silent))
+	addInstance(t, g, "k", 8, answerAll)
+	begun := time.Now()
+	resp := get(t, g)
+	t.Log(time.Since(begun), resp.StatusCode)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -308,7 +308,7 @@
 // silent instance may be sound.
 func (s *stream) onStall(waited time.Duration) (again time.Duration, err error) {
 	if s.successor != nil {
-		return s.checkSuccessor()
+		return s.checkSuccessor(successorLimit, s.startStreamSuccessor)
 	}
 	if !s.shouldMove(waited) {
 		return 0, nil
@@ -318,7 +318,7 @@
 	if !s.attemptsLeft() {
 		return 0, nil
 	}
-	if s.startSuccessor(s.successorRequest(first), s.lastEvent, s.options(), s.beginStream(s.lastEvent)) {
+	if s.startStreamSuccessor() {
 		return successorPollInterval, nil
 	}
 	if s.laterStageEnded() && s.takeResend() {
@@ -337,16 +337,18 @@
 	})
 }
 
-// successorRequest asks for a path for a successor. It does not begin at the first instance
-// of the silent exchange, which identifies streams by the id of their request.
-func (s *stream) successorRequest(first string) admitRequest {
+// startStreamSuccessor starts a successor and reports whether it did. Its path does not begin
+// at the first instance of the silent exchange, which identifies streams by the id of their
+// request.
+func (s *stream) startStreamSuccessor() bool {
 	demand := s.demand()
-	demand.Avoid = append(slices.Clone(s.avoid), first)
+	demand.Avoid = append(slices.Clone(s.avoid), s.currentGrant().Path.First().Instance)
 	urgency := s.urgency
 	if s.eventCount > 0 {
 		urgency = continueUrgency
 	}
-	return admitRequest{service: s.service, demand: demand, urgency: urgency}
+	req := admitRequest{service: s.service, demand: demand, urgency: urgency}
+	return s.startSuccessor(req, s.lastEvent, s.options(), s.beginStream(s.lastEvent))
 }
 
 // shouldMove reports whether a stream that has been silent for waited is to be continued on
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -12,9 +12,15 @@
 	"github.com/nutmegroute/nutmegroute/internal/events"
 )
 
-// successorPollInterval is how often a silent exchange checks whether its successor has
-// begun.
-const successorPollInterval = 20 * time.Millisecond
+const (
+	// successorPollInterval is how often a silent exchange checks whether its successor has
+	// begun.
+	successorPollInterval = 20 * time.Millisecond
+	// successorLimit is how long the successor of a stream may be silent before it is
+	// replaced by another one, provided that the route allows another attempt and an instance
+	// is granted at once. It may have to process the whole prompt.
+	successorLimit = 600 * time.Millisecond
+)
 
 // errMoved ends an exchange because its successor has begun.
 var errMoved = errors.New("gateway: another instance has begun to answer")
@@ -25,6 +31,8 @@
 type successor struct {
 	grant  chain.Grant
 	cancel context.CancelFunc
+	// replaceTriedAt is when another successor was last looked for.
+	replaceTriedAt time.Time
 	// alone is true once the first exchange has ended. The goroutine that serves the
 	// request then waits for done, and the stall function of the request is called.
 	alone atomic.Bool
@@ -103,12 +111,18 @@
 }
 
 // checkSuccessor is called by the stall function of a silent exchange. It returns errMoved
-// if the successor has begun, and ends a successor that failed.
-func (c *call) checkSuccessor() (again time.Duration, err error) {
+// if the successor has begun, and ends a successor that failed. A successor that is silent
+// for longer than limit is replaced if start starts another one.
+func (c *call) checkSuccessor(limit time.Duration, start func() bool) (again time.Duration, err error) {
 	n := c.successor
 	select {
 	case <-n.done:
 	default:
+		now := time.Now()
+		if now.Sub(n.sentAt) > limit && now.Sub(n.replaceTriedAt) > stallCheckInterval {
+			n.replaceTriedAt = now
+			c.replaceSuccessor(start)
+		}
 		return successorPollInterval, nil
 	}
 	if n.begun {
@@ -120,6 +134,25 @@
 	return 0, nil
 }
 
+// replaceSuccessor ends a silent successor if start starts another one.
+func (c *call) replaceSuccessor(start func() bool) {
+	silent := c.successor
+	instance := silent.grant.Path.First().Instance
+	c.recordPossibleRun(instance)
+	c.addAvoided(instance)
+	if !c.attemptsLeft() {
+		return
+	}
+	c.successor = nil
+	if !start() {
+		c.successor = silent
+		return
+	}
+	c.g.tracker.RecordFailure(instance, time.Now())
+	c.logEvent(events.SuccessorFailed).Str("instance", instance).Bool("silent", true).Send()
+	silent.end(c.g.admission)
+}
+
 // recordFailedSuccessor records why a successor did not begin.
 func (c *call) recordFailedSuccessor(n *successor) {
 	path := n.grant.Path
