gateway: Let only a successor that has an answer take over

What callers saw: a sound stream that was silent was cut, or ended as if it were complete, because its successor ended without any event. Cause: the end of a successor's stream counted as its next event, and the start of a long response as the whole. Change: a successor has begun when it has sent an event of the stream, or a whole response that fits the buffer. One that ended counts as failed while the first exchange lives.

--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -171,3 +171,41 @@
 	t.Log(time.Since(begun), resp.StatusCode)
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 }
+
+// Guards against a sound stream that is left for a successor that ends before its first event.
+func TestStreamIsNotLeftForASuccessorWithoutEvents(t *testing.T) {
+	g := newGatewayWithRepeats(t, resumableRoute, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(1800 * time.Millisecond)
+		_, _ = io.WriteString(w, "id: 2\ndata: y\n\n")
+	}))
+	resp := get(t, g)
+	addInstance(t, g, "j", 8, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, _ := http.NewResponseController(w).Hijack()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n\r\n")
+		_ = conn.Close()
+	}))
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), wholeStream)
+}
+
+// Guards against a sound stream that is replaced by a successor without events, whose end looks complete.
+func TestStreamIsNotLeftForAnEmptySuccessor(t *testing.T) {
+	g := newGatewayWithRepeats(t, resumableRoute, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(1800 * time.Millisecond)
+		_, _ = io.WriteString(w, "id: 2\ndata: y\n\n")
+	}))
+	resp := get(t, g)
+	addInstance(t, g, "j", 8, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+	}))
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), wholeStream)
+}
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -73,6 +73,9 @@
 	}
 }
 
+// atEnd reports whether skipUntilNew found the end of the stream.
+func (e *eventReader) atEnd() bool { return e.next != nil && e.next.err != nil }
+
 // readEvent reads one event, including the empty line that ends it, and returns
 // it with its id. It returns io.EOF if the stream ends before an event begins, and
 // io.ErrUnexpectedEOF if it ends within an event.
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -241,7 +241,7 @@
 		if err := n.events.skipUntilNew(lastEvent); err != nil {
 			return false, errors.Join(backend.ErrExchangeFailed, err)
 		}
-		return true, nil
+		return !n.events.atEnd(), nil
 	}
 }
 
@@ -256,5 +256,5 @@
 	if err := n.answer.read(resp.Body); err != nil {
 		return false, errors.Join(backend.ErrExchangeFailed, err)
 	}
-	return resp.StatusCode < http.StatusInternalServerError, nil
+	return n.answer.complete && resp.StatusCode < http.StatusInternalServerError, nil
 }
