gateway: Don't replace a long response that is being forwarded

What callers saw: a response of more than 256 kB was cut because its sound instance was silent for a second in the middle. Cause: a successor was started although the headers had been sent; when it had begun, the exchange that was being forwarded ended. Evidence: TestLongResponseOfASilentInstanceIsNotCut fails before this change (unexpected EOF). Change: when the forwarding begins, the successor ends and no other is started. Result: go test -race ./internal/gateway -run 'Silent|Leaves|NotLeft|Long' passes.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -143,6 +143,7 @@
 // sees that the response is incomplete. Without a length, it may also be one that never
 // ends; it ends at the deadline.
 func (c *call) forwardLong(x *backend.Exchange, start []byte) {
+	c.dropSuccessor()
 	if x.Response.ContentLength >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(x.Response.ContentLength, 10))
 	}
@@ -271,6 +272,9 @@
 // onSilence is the backend.StallFunc of a response that is buffered. A successor asks
 // another instance, while the exchange is kept until one of them has the whole response.
 func (c *call) onSilence(time.Duration) (again time.Duration, err error) {
+	if c.sentStatus != 0 {
+		return 0, nil // a response that is being forwarded can't be replaced
+	}
 	if c.successor != nil {
 		return c.checkSuccessor(responseTimeoutFactor*c.route.LatencyObjective, c.startBufferedSuccessor)
 	}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -209,3 +209,33 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), wholeStream)
 }
+
+// Guards against a long response that is cut because its sound instance is silent within it.
+func TestLongResponseOfASilentInstanceIsNotCut(t *testing.T) {
+	for _, other := range []bool{false, true} {
+		t.Run("", func(t *testing.T) {
+			route := routing.Route{
+				Kind: routing.Idempotent, Timeout: 5 * time.Second, MaxAttempts: 2, LatencyObjective: 100 * time.Millisecond,
+			}
+			long := strings.Repeat("x", maxBufferedBytes+1000)
+			pause := 1200 * time.Millisecond
+			g := newGatewayWithRepeats(t, route, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Id", r.Header.Get("Id"))
+				_, _ = io.WriteString(w, long)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(pause)
+				_, _ = io.WriteString(w, "rest")
+			}))
+			resp := get(t, g)
+			if other {
+				addInstance(t, g, "j", 8, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Id", r.Header.Get("Id"))
+					_, _ = io.WriteString(w, long+"rest")
+				}))
+			}
+			body, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, len(body), len(long)+4)
+		})
+	}
+}
