gateway: Abort the connection of a client that left instead of an empty success

What callers saw: a client that closes its sending side after its request got an empty 200 that no instance had sent; so did one whose second request had been read together with the first, when its connection was closed as idle under it. Cause: a handler that returns without an answer makes net/http send 200. A request that lies whole in the server's buffer needs no read, so that its connection stayed idle. Found in the review. Change: a request that ends without an answer aborts its connection; a request marks its connection as busy when it begins.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -87,12 +87,25 @@
 	for _, part := range c.inbound.SharedParts {
 		c.parts = append(c.parts, quarantine.Part(part))
 	}
+	if conn, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
+		conn.setBusy()
+	}
 	g.inProgress.add(c)
 	defer g.inProgress.remove(c)
 	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	defer c.recordOutcome()
+	c.serve()
+	if c.sentStatus == 0 {
+		// The client has left. Without an abort, the server would send an empty success.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve answers the request, unless the client disconnects before.
+func (c *call) serve() {
+	g := c.g
 	if !c.waitForSync() || !c.resolve() || !c.readBody() {
 		return
 	}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -191,6 +192,22 @@
 	closing bool
 }
 
+// clientConnKey is the key of the clientConn in the context of a request.
+type clientConnKey struct{}
+
+// withClientConn is the ConnContext callback of the http.Server.
+func withClientConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, clientConnKey{}, c)
+}
+
+// setBusy is called when a request begins, all of which may have been read with the one
+// before.
+func (c *clientConn) setBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+}
+
 func (c *clientConn) setIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -121,3 +121,45 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.NilError(t, <-ended)
 }
+
+// Guards against a pipelined request that is cancelled because its connection counts as idle.
+func TestPipelinedRequestIsNotClosedAsIdle(t *testing.T) {
+	n := 0
+	g := newTestGateway(t, idempotentRoute, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if n++; n == 2 {
+			time.Sleep(500 * time.Millisecond)
+		}
+	}))
+	_, address := serveClients(t, g)
+	c := dialClient(t, address)
+	c.write(clientRequest + clientRequest)
+	status, err := c.readStatus()
+	assert.NilError(t, err)
+	assert.Equal(t, status, 200)
+	time.Sleep(150 * time.Millisecond)
+	g.clients.closeIdle(unusedTime, time.Now(), func(net.Conn, time.Duration) { t.Log("closed as idle") })
+	resp, err := http.ReadResponse(c.reader, nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	t.Log(resp.Status, resp.Header)
+	assert.Equal(t, resp.Header.Get("Id"), "1")
+}
+
+// Guards against an empty success for a client that closes its sending side after its request.
+func TestNoEmptySuccessForAClientThatLeft(t *testing.T) {
+	g := newTestGateway(t, idempotentRoute, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		time.Sleep(300 * time.Millisecond)
+	}))
+	_, address := serveClients(t, g)
+	c := dialClient(t, address)
+	c.write(clientRequest)
+	assert.NilError(t, c.conn.(*net.TCPConn).CloseWrite())
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err == nil {
+		defer resp.Body.Close()
+		t.Log(resp.Status, resp.Header)
+		assert.Equal(t, resp.Header.Get("Id"), "1")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -256,6 +256,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         g.clients.track,
+		ConnContext:       withClientConn,
 		ErrorLog:          g.log.Std(events.ListenerError),
 	}
 }
