gateway: Close connections that a shutdown or a limit forgot

What callers saw: a stopping gateway without a listener for up to six seconds; bytes of a request that had arrived and were not read when their connection was closed. Cause: four gaps of the connections that are closed only when nothing was read. A new connection without a request did not count as idle, one to three stray bytes ended the idle time for good, a read after its deadline returns nothing although bytes have arrived, and a close that came before net/http reset the deadline was not repeated. Found in the review. Change: a connection is idle from its start; the first bytes after an idle time set the deadline of the head; a close looks once more for bytes and is repeated; a shutdown waits no longer than closingTime after the last request.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -28,6 +28,8 @@
 	// http.Server may read the first byte of the next request before it reports that the
 	// connection is idle; it reads the rest at once.
 	unusedTime = 50 * time.Millisecond
+	// lastLookTime bounds the last read before a connection is closed.
+	lastLookTime = time.Millisecond
 )
 
 // idleLimits holds the idle limit in force and those that clients may still use.
@@ -148,6 +150,7 @@
 	switch state {
 	case http.StateNew:
 		l.open[conn] = struct{}{}
+		conn.setIdle(time.Now())
 	case http.StateIdle:
 		conn.setIdle(time.Now())
 	case http.StateClosed, http.StateHijacked:
@@ -184,8 +187,8 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// idle is true from the end of a response until something is read, idleSince when it
-	// began.
+	// idle is true from the start of the connection and from the end of a response until
+	// something is read, idleSince when it began.
 	idle      bool
 	idleSince time.Time
 	// closing is true once an idle connection is to be closed.
@@ -221,9 +224,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := now.Sub(c.idleSince)
-	if !c.idle || c.closing || idle <= limit {
+	if !c.idle || idle <= limit {
 		return idle, false
 	}
+	// http.Server may have reset the deadline since the last call.
 	c.closing = true
 	// An error means that the connection is closed.
 	_ = c.SetReadDeadline(time.Unix(1, 0))
@@ -235,16 +239,17 @@
 	n, err := c.TCPConn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 {
-		c.idle = false
-		if c.closing {
-			c.closing = false
-			_ = c.SetReadDeadline(time.Time{})
+	if n == 0 && c.closing && errors.Is(err, os.ErrDeadlineExceeded) {
+		// A read after its deadline returns no bytes, not even those that have arrived.
+		_ = c.SetReadDeadline(time.Now().Add(lastLookTime))
+		if n, err = c.TCPConn.Read(p); n == 0 {
+			return 0, io.EOF
 		}
-		return n, err
 	}
-	if c.closing && errors.Is(err, os.ErrDeadlineExceeded) {
-		return 0, io.EOF
+	if n > 0 && c.idle {
+		// http.Server sets the deadline of the head when it has read four bytes.
+		c.idle, c.closing = false, false
+		_ = c.SetReadDeadline(time.Now().Add(headerTimeout))
 	}
 	return n, err
 }
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -163,3 +164,83 @@
 		assert.Equal(t, resp.Header.Get("Id"), "1")
 	}
 }
+
+// Guards against a connection that no limit closes because one to three bytes came after a response.
+func TestBytesAfterAResponseDontKeepAConnection(t *testing.T) {
+	g := newTestGateway(t, idempotentRoute, answerAll)
+	_, address := serveClients(t, g)
+	c := dialClient(t, address)
+	c.write(clientRequest)
+	_, err := c.readStatus()
+	assert.NilError(t, err)
+	waitIdle(t, g)
+	c.write("\r\n")
+	time.Sleep(100 * time.Millisecond)
+	g.clients.closeIdle(time.Second, time.Now().Add(time.Hour), func(net.Conn, time.Duration) { t.Log("closed as idle") })
+	_ = c.conn.SetDeadline(time.Now().Add(headerTimeout + 2*time.Second))
+	_, err = c.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a request whose bytes had arrived when its connection was closed as idle.
+func TestArrivedBytesAreReadBeforeAClose(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer client.Close()
+	accepted, err := clientListener{l}.Accept()
+	assert.NilError(t, err)
+	conn := accepted.(*clientConn)
+	conn.setIdle(time.Now().Add(-time.Minute))
+	_, err = io.WriteString(client, "GET / HTTP/1.1\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, closes := conn.closeIdle(time.Second, time.Now())
+	assert.Assert(t, closes)
+	k, err := conn.Read(make([]byte, 100))
+	assert.NilError(t, err)
+	assert.Equal(t, k, 18)
+}
+
+// Guards against a connection that is never closed as idle, because a close came before the server reset the deadline.
+func TestCloseBeforeADeadlineResetIsRepeated(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer client.Close()
+	accepted, err := clientListener{l}.Accept()
+	assert.NilError(t, err)
+	conn := accepted.(*clientConn)
+	conn.setIdle(time.Now().Add(-time.Minute))
+	conn.closeIdle(time.Second, time.Now())
+	_ = conn.SetReadDeadline(time.Time{}) // as net/http does after StateIdle
+	_, closes := conn.closeIdle(time.Second, time.Now().Add(time.Hour))
+	assert.Assert(t, closes)
+}
+
+// Guards against a shutdown that stays without a listener because of a connection without a request.
+func TestShutdownEndsDespiteAnUnusedConnection(t *testing.T) {
+	g := newTestGateway(t, idempotentRoute, answerAll)
+	g.settings.DrainTimeout = 9 * time.Second
+	server, address := serveClients(t, g)
+	dialClient(t, address)
+	refused := make(chan time.Time, 1)
+	go func() {
+		for {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				refused <- time.Now()
+				return
+			}
+			_ = c.Close()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	assert.NilError(t, g.drain(server))
+	ended := time.Now()
+	assert.Assert(t, ended.Sub(<-refused) < time.Second)
+}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -60,8 +60,15 @@
 // process.ErrDrainTimeout if requests are still in progress at end.
 func (g *Gateway) closeClients(server *http.Server, end time.Time) error {
 	g.clients.stopAccepting()
-	for !g.clients.closeUnused(time.Now()) && time.Now().Before(end) {
-		sleepUntil(time.Now().Add(drainPollInterval))
+	lastRequest := time.Now()
+	for now := lastRequest; !g.clients.closeUnused(now) && now.Before(end); now = time.Now() {
+		if g.inProgress.count() > 0 {
+			lastRequest = now
+		}
+		if now.Sub(lastRequest) > closingTime {
+			break // the rest has sent a part of a request, and no more
+		}
+		sleepUntil(now.Add(drainPollInterval))
 	}
 	interrupted := g.inProgress.count() > 0
 	g.inProgress.logUnfinished(g.log)
