relay: A relay in a former era of the store has no news

Cause: a gateway that has read a new era could ask a relay that is still in the former one. The relay answered with no changes and a recent confirmation, which counted for the new era. Change: such a watch is answered as unavailable, so that the gateway avoids the relay and asks the store. Result: go test -race: TestRelayInAFormerEraIsUnavailable failed before ("error is nil") and passes.

--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -183,7 +183,8 @@
 func (c *Cache[R]) changesAfter(after revision.Revision) (feed.Batch[R], <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.available {
+	// A cache in a former era of the store has nothing that the caller may use.
+	if !c.available || after.Era() > c.revision.Era() {
 		return feed.Batch[R]{}, c.changed, ErrUnavailable
 	}
 	if after < c.logStart {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -358,3 +358,33 @@
 	_, err := c.list(t.Context(), g.peer)
 	assert.Equal(t, websocket.CloseStatus(err), websocket.StatusMessageTooBig, "%v", err)
 }
+
+// Guards against old news that count as confirmed: a relay that is still in a former era of the
+// store answers a gateway that has read a later one.
+func TestRelayInAFormerEraIsUnavailable(t *testing.T) {
+	c := NewCache[string](&recorder{values: make(map[string]bool)}, func(v string) (string, bool) { return v, false })
+	c.Replace(feed.Batch[string]{Records: []string{"a"}, Revision: revision.New(1, 300), ConfirmedAt: time.Now()}, false)
+	_, err := c.Watch(t.Context(), revision.New(2, 5), time.Time{}, time.Millisecond)
+	assert.ErrorIs(t, err, ErrUnavailable)
+	_, err = c.Watch(t.Context(), revision.New(1, 300), time.Time{}, time.Millisecond)
+	assert.NilError(t, err)
+	c.Replace(feed.Batch[string]{Records: []string{"a"}, Revision: revision.New(2, 5), ConfirmedAt: time.Now()}, false)
+	_, err = c.Watch(t.Context(), revision.New(1, 300), time.Time{}, time.Millisecond)
+	assert.ErrorIs(t, err, feed.ErrHistoryExpired)
+	_, err = c.Watch(t.Context(), revision.New(2, 5), time.Time{}, time.Millisecond)
+	assert.NilError(t, err)
+}
+
+// Guards against a follower that goes on waiting for its relay, although another gateway has
+// heard of a new era of the store.
+func TestFollowerHearsOfANewEraFromAPeer(t *testing.T) {
+	reader, readerStore, follower, ownStore := startReaderAndFollower(t)
+	readerStore.change(func() { readerStore.hanging = true })
+	ownStore.add("b")
+	follower.guide.set(revision.New(1, 0), reader.peer)
+	wait(t, follower.has("b"))
+	follower.guide.set(2, reader.peer) // an older era changes nothing
+	calls := ownStore.callCount()
+	time.Sleep(testWait)
+	assert.Assert(t, ownStore.callCount() <= calls+1, "%d calls", ownStore.callCount()-calls)
+}
