gateway: Run returns after the sockets to other gateways are closed

Cause: in a run of ./platform, TestRequestsThatCrashEnginesAreStopped failed once: after the restart of all gateways one did not answer for 30 s. The feeds' listener and the socket of reports were closed in goroutines of their own after Run had returned, so that the next gateway could not bind the address and ended with an error that the test does not look at. Change: both are closed before Run returns. A second caller waits for the first.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -101,7 +103,8 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+relay.Path, feeds)
 	server := process.NewServer(mux)
-	context.AfterFunc(ctx, func() { _ = server.Close() })
+	g.closeFeeds = sync.OnceFunc(func() { _ = errors.Join(server.Close(), l.Close()) })
+	context.AfterFunc(ctx, g.closeFeeds)
 	group.Go(func() error { return process.Serve(server, l, nil) })
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,9 @@
 	// reporter is nil until the gateway has joined its peers, and always nil if
 	// no peer port is set.
 	reporter atomic.Pointer[gossip.Reporter]
+	// closeFeeds closes the server of the feeds for other gateways; a second caller waits
+	// for the first. It is nil without a peer port.
+	closeFeeds func()
 	// self is the record of this gateway. It is set before the feeds start. reregister
 	// receives an element when the store lacks it.
 	self       gossip.Peer
@@ -246,9 +249,21 @@
 	err = g.drain(server)
 	stop()
 	_ = readiness.Close()
+	g.releasePeerAddress()
 	return err
 }
 
+// releasePeerAddress closes the sockets to the other gateways, so that another process can
+// bind their address once Run has returned.
+func (g *Gateway) releasePeerAddress() {
+	if r := g.reporter.Load(); r != nil {
+		r.Close()
+	}
+	if g.closeFeeds != nil {
+		g.closeFeeds()
+	}
+}
+
 // serveReadiness answers the readiness checks of the load balancer.
 func (g *Gateway) serveReadiness(group *errgroup.Group, l net.Listener) {
 	server := process.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -74,6 +74,8 @@
 	name  string
 	state SharedState
 	conn  *net.UDPConn
+	// closeOnce closes conn; a second caller waits for the first.
+	closeOnce sync.Once
 	// send sends a datagram. Errors are ignored: the next report replaces this one.
 	send func(datagram []byte, to netip.AddrPort)
 
@@ -110,9 +112,12 @@
 // Address returns the address on which the Reporter receives reports.
 func (x *Reporter) Address() netip.AddrPort { return x.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
+// Close releases the address before it returns. Run returns after it.
+func (x *Reporter) Close() { x.closeOnce.Do(func() { _ = x.conn.Close() }) }
+
 // Run sends and receives reports until ctx ends.
 func (x *Reporter) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
+	stop := context.AfterFunc(ctx, x.Close)
 	defer stop()
 	go process.RunEvery(ctx, reportInterval, x.sendReports)
 	buffer := make([]byte, maxDatagramBytes)
