gateway: Deny nothing while another gateway has a newer configuration

Cause: a gateway that starts while the restored store holds an older configuration took it for the newest, since the store confirms it, and answered 401 to keys that the configuration in force allows. Change: reports carry the version of the sender's configuration. While a living gateway reports a newer one, a denial is a 503, as while the store is away. It does not stop the placement, so that a wrong version in a report costs no more than denials.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -205,7 +205,7 @@
 // configuration may be outdated, it refuses the request instead, so that the
 // client retries.
 func (c *call) deny(status int, reason error) {
-	if c.g.configStale() {
+	if c.g.configStale() || c.g.configBehind() {
 		c.refuse("configuration may be outdated: "+reason.Error(), time.Second)
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,6 +172,13 @@
 	return time.Since(g.configConfirmedAt) > configStaleAfter
 }
 
+// configBehind reports whether another gateway has a newer configuration in force. The store
+// may hold an older one for a moment after it was restored.
+func (g *Gateway) configBehind() bool {
+	r, t := g.reporter.Load(), g.activeTable.Get()
+	return r != nil && t != nil && r.NewestConfiguration(time.Now()) > t.Version()
+}
+
 // memberChanges returns when the first instance was added, and when an instance
 // was last added or removed.
 func (g *Gateway) memberChanges() (first, latest time.Time) {
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -41,6 +41,9 @@
 	}
 	h.g.log.Log(events.ConfigurationInstalled).Int64("version", c.Version).Uint64("era", at.Era()).Uint64("revision", at.Number()).
 		Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Send()
+	if r := h.g.reporter.Load(); r != nil {
+		r.SetConfiguration(c.Version)
+	}
 	h.g.markSynced(&h.g.configSynced)
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -79,13 +79,15 @@
 	// send sends a datagram. Errors are ignored: the next report replaces this one.
 	send func(datagram []byte, to netip.AddrPort)
 
-	// mu guards members, reportNumber and latestChanges.
+	// mu guards the fields below.
 	mu           sync.Mutex
 	members      *membership
 	reportNumber uint64
 	// latestChanges holds, for each feed, the revision of the latest change that this
 	// gateway knows, heardChanges the highest one that any gateway reported.
 	latestChanges, heardChanges []revision.Revision
+	// configuration is the version of this gateway's configuration.
+	configuration int64
 }
 
 // Listen returns a Reporter that receives reports on a UDP address.
@@ -250,6 +252,21 @@
 	return x.heardChanges[feed]
 }
 
+// SetConfiguration sets the version of this gateway's configuration, for later reports.
+func (x *Reporter) SetConfiguration(version int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.configuration = version
+}
+
+// NewestConfiguration returns the highest version of a configuration that a peer that is alive
+// reports.
+func (x *Reporter) NewestConfiguration(now time.Time) int64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.members.newestConfiguration(now)
+}
+
 // maxFeeds bounds the number of feeds in a report.
 const maxFeeds = 8
 
@@ -321,7 +338,7 @@
 // header completes the header of a report.
 func (x *Reporter) header(m message) message {
 	m.From, m.ReportNumber, m.Domain, m.Capacity = x.name, x.reportNumber, x.members.self.Domain, x.members.capacity
-	m.LatestChanges = slices.Clone(x.latestChanges)
+	m.LatestChanges, m.Configuration = slices.Clone(x.latestChanges), x.configuration
 	return m
 }
 
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -62,6 +62,8 @@
 type member struct {
 	Status
 	capacity uint32
+	// configuration is the version of the gateway's configuration.
+	configuration int64
 	// receivedAt is the arrival time of the last report, interruptedAt that of the
 	// first report after the latest interruption, zero if there was none.
 	receivedAt, interruptedAt time.Time
@@ -74,6 +76,8 @@
 type summary struct {
 	Status
 	members, active int
+	// configuration is the version of the relay's configuration.
+	configuration int64
 	// reader is true if the relay reads the platform's store.
 	reader bool
 	// first holds the names of the first active members.
@@ -146,7 +150,7 @@
 
 // recordMember records the report of a gateway of the own failure domain.
 func (s *membership) recordMember(m message, now time.Time) {
-	next := member{Status: m.status(), capacity: m.Capacity, receivedAt: now}
+	next := member{Status: m.status(), capacity: m.Capacity, configuration: m.Configuration, receivedAt: now}
 	if previous, known := s.members[m.From]; known {
 		next.interruptedAt = previous.interruptedAt
 		if !previous.alive(now) {
@@ -166,7 +170,7 @@
 	}
 	next := summary{
 		Status: m.status(), members: int(m.Members), active: int(m.Active), reader: m.Reader, first: m.First,
-		receivedAt: now,
+		configuration: m.Configuration, receivedAt: now,
 	}
 	if previous, known := d.relays[m.From]; known {
 		next.interruptedAt, next.forwarded = previous.interruptedAt, previous.forwarded
@@ -346,6 +350,23 @@
 	return false
 }
 
+// newestConfiguration returns the highest version of a configuration that a living peer, or
+// the relay of a failure domain, has.
+func (s *membership) newestConfiguration(now time.Time) int64 {
+	var newest int64
+	for _, m := range s.members {
+		if m.alive(now) {
+			newest = max(newest, m.configuration)
+		}
+	}
+	for _, d := range s.domains {
+		if latest, ok := d.current(now); ok {
+			newest = max(newest, latest.configuration)
+		}
+	}
+	return newest
+}
+
 // activePeers returns the number of other gateways that are alive and not stopping.
 func (s *membership) activePeers(now time.Time) int {
 	count := 0
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -70,6 +70,8 @@
 	// Suspects and Decisions are those of quarantine.Report.
 	Suspects  []suspect  `cbor:"20,keyasint,omitempty"`
 	Decisions []decision `cbor:"21,keyasint,omitempty"`
+	// Configuration is the version of the sender's configuration.
+	Configuration int64 `cbor:"23,keyasint,omitempty"`
 	// Part numbers the datagrams of one report from 0.
 	Part uint32 `cbor:"18,keyasint,omitempty"`
 }
