--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,9 @@
 	// reporter is nil until the gateway has joined its peers, and always nil if
 	// no peer port is set.
 	reporter atomic.Pointer[gossip.Reporter]
+	// closeFeeds closes the server of the feeds for other gateways; a second caller waits
+	// for the first. It is nil without a peer port.
+	closeFeeds func()
 	// self is the record of this gateway. It is set before the feeds start. reregister
 	// receives an element when the store lacks it.
 	self       gossip.Peer
@@ -175,6 +178,13 @@
 	return time.Since(g.configConfirmedAt) > configStaleAfter
 }
 
+// configBehind reports whether another gateway has a newer configuration in force. The store
+// may hold an older one for a moment after it was restored.
+func (g *Gateway) configBehind() bool {
+	r, t := g.reporter.Load(), g.activeTable.Get()
+	return r != nil && t != nil && r.NewestConfiguration(time.Now()) > t.Version()
+}
+
 // memberChanges returns when the first instance was added, and when an instance
 // was last added or removed.
 func (g *Gateway) memberChanges() (first, latest time.Time) {
@@ -246,6 +256,7 @@
 	err = g.drain(server)
 	stop()
 	_ = readiness.Close()
+	g.releasePeerAddress()
 	return err
 }
 
@@ -270,6 +281,17 @@
 	return err
 }
 
+// releasePeerAddress closes the sockets to the other gateways, so that another process can
+// bind their address once Run has returned.
+func (g *Gateway) releasePeerAddress() {
+	if r := g.reporter.Load(); r != nil {
+		r.Close()
+	}
+	if g.closeFeeds != nil {
+		g.closeFeeds()
+	}
+}
+
 // serveReadiness answers the readiness checks of the load balancer.
 func (g *Gateway) serveReadiness(group *errgroup.Group, l net.Listener) {
 	server := process.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -72,6 +72,8 @@
 	Decisions []decision `cbor:"21,keyasint,omitempty"`
 	// Departures holds the instances that said that they leave.
 	Departures []departure `cbor:"26,keyasint,omitempty"`
+	// Configuration is the version of the sender's configuration.
+	Configuration int64 `cbor:"23,keyasint,omitempty"`
 	// Part numbers the datagrams of one report from 0.
 	Part uint32 `cbor:"18,keyasint,omitempty"`
 }
