gateway: Count a report that an instance did not give once

What callers saw: requests were refused while sound instances were silent for a quarter of a second. Cause: an instance counts as lost after three missing reports. The streams through it share one report, and each of them counted it. Found in the review. Evidence: TestSharedReportCountsOnce fails before this change: one report was asked for, and the instance was lost. Change: a missing report counts once. Result: go test -race ./internal/gateway -run 'SharedReport|Silent' passes.

--- a/internal/gateway/faults.go
+++ b/internal/gateway/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
@@ -46,6 +47,8 @@
 	at     time.Time
 	report Report
 	err    error
+	// counted is true once a missing answer was recorded. Many streams share it.
+	counted atomic.Bool
 }
 
 func newFaultFinder(c *control, t *chain.InstanceTracker, d *fleet.Directory, log *events.Logger) *faultFinder {
@@ -64,7 +67,9 @@
 		if errors.Is(answer.err, errBackoff) {
 			return "", answer.err
 		}
-		f.tracker.RecordUnreachable(first.Instance, now)
+		if answer.counted.CompareAndSwap(false, true) {
+			f.tracker.RecordUnreachable(first.Instance, now)
+		}
 		return first.Instance, nil
 	}
 	address, stalled := answer.report.Stalled[id]
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -37,3 +37,27 @@
 	}, poll.WithTimeout(time.Second))
 	assert.Assert(t, !tracker.IsLost("i", now.Add(7*time.Second)))
 }
+
+// countingEngines answers no request for a report and counts them.
+type countingEngines struct {
+	Engines
+	count *int
+}
+
+func (e countingEngines) Report(context.Context, string) (Report, Notice, error) {
+	*e.count++
+	return Report{}, Notice{}, errDown
+}
+
+// Guards against an instance that counts as lost because several streams share one missed report.
+func TestSharedReportCountsOnce(t *testing.T) {
+	tracker, directory, now := chain.NewInstanceTracker(), fleet.NewDirectory(), time.Now()
+	count := 0
+	instances := &control{countingEngines{count: &count}, &noticeRecorder{directory, tracker, events.Nop()}}
+	f := newFaultFinder(instances, tracker, directory, events.Nop())
+	for range 3 {
+		_, _ = f.Locate(t.Context(), chain.Path{{Instance: "i", Address: "a"}}, "1", now)
+	}
+	assert.Equal(t, count, 1)
+	assert.Assert(t, !tracker.IsLost("i", now))
+}
