gateway: Pass a refusal on as one also after a silence

What callers saw: 502 in place of a refusal that says not run, if the instance had been silent before it refused; a client whose request must not be repeated can't try again then. Cause: an instance that is silent is recorded as one that may have run the request, and its own word that it has not did not take that back. Found in the review. Evidence: TestRefusalAfterSilenceStaysARefusal fails before this change (502, refused after an attempt that may have run). Change: an instance that refuses, and that the request was sent to once, no longer counts as one that may have run it. Result: go test -race ./internal/gateway -run 'RefusalAfterSilence|Silent' passes.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -380,6 +380,7 @@
 // and returns its ID. An instance of a model that refused for lack of memory is
 // not avoided by this request: it may accept the request when others end.
 func (c *call) recordRefusal(path chain.Path, reply Reply, status int) string {
+	c.recordNotRun(path.First().Instance)
 	refusing := refusingInstance(path, reply)
 	if c.service.Model != nil && status == http.StatusServiceUnavailable {
 		now := time.Now()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -334,6 +334,20 @@
 	}
 }
 
+// recordNotRun records that an instance said that it has not run the request. It may have run
+// it all the same if it was sent there before.
+func (c *call) recordNotRun(instance string) {
+	sent := 0
+	for _, id := range c.sentTo {
+		if id == instance {
+			sent++
+		}
+	}
+	if sent == 1 {
+		c.possiblyRanOn = slices.DeleteFunc(c.possiblyRanOn, func(id string) bool { return id == instance })
+	}
+}
+
 // addAvoided makes the request avoid an instance.
 func (c *call) addAvoided(instance string) {
 	if !slices.Contains(c.avoid, instance) {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -239,3 +239,21 @@
 		})
 	}
 }
+
+// Guards against a true refusal that becomes a 502 because its instance was silent before it.
+func TestRefusalAfterSilenceStaysARefusal(t *testing.T) {
+	for _, kind := range []routing.Route{resumableRoute, {Kind: routing.Streaming, Timeout: 10 * time.Second, MaxAttempts: 1}} {
+		t.Run("", func(t *testing.T) {
+			g := newTestGateway(t, kind, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Id", r.Header.Get("Id"))
+				time.Sleep(1800 * time.Millisecond)
+				w.Header().Set("Refused", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			resp := get(t, g)
+			b, _ := io.ReadAll(resp.Body)
+			t.Logf("%d %s", resp.StatusCode, b)
+			assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		})
+	}
+}
