gateway: Notice the end of an instance also under a successor

What callers saw: a request that crashes instances ends one more instance than it must, and a lost one gets requests. Cause: a successor whose instance closed the connection was recorded as a failure only; whether the instance had ended was not checked, so that neither its loss nor the parts of the prompt were recorded. Found in the review. Change: the end of a successor's exchange is checked like that of the first one.

--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -124,13 +124,18 @@
 // whether the instance has ended. An instance that has counts as lost at all gateways; if
 // it had not begun to answer, the parts of the prompt become suspects.
 func (c *call) observeInterruption(first chain.Stage, err error) {
+	c.observeEnd(first, err, c.answerEvents < answeredEvents, c.sentAt)
+}
+
+// observeEnd is observeInterruption for any exchange of the request. unanswered is true if
+// the instance had not begun to answer what was sent to it at sentAt.
+func (c *call) observeEnd(first chain.Stage, err error, unanswered bool, sentAt time.Time) {
 	if !closedByInstance(err) {
 		return
 	}
 	ctx, now := context.WithoutCancel(c.context()), time.Now()
 	line := c.logEvent(events.ResponseInterrupted).Str("instance", first.Instance).Err(err).
 		Int("events", c.eventCount).Strs("parts", c.inbound.SharedParts)
-	unanswered, sentAt := c.answerEvents < answeredEvents, c.sentAt
 	go func() {
 		ended := c.g.ends.Ended(ctx, first.Address, now)
 		line.Bool("ended", ended).Send()
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -171,6 +171,7 @@
 	}
 	line.Send()
 	c.addAvoided(instance)
+	c.observeEnd(path.First(), n.err, true, n.sentAt)
 	if errors.Is(n.err, backend.ErrNotSent) {
 		c.g.tracker.RecordUnreachable(instance, now)
 		return
