fleet: Take no entry of a store's copy for news

What callers saw: after a restore a server that had left, or the address of its earlier start, could be in use again; an engine's own report of its layers gave way to an older one. Cause: with the era first, each entry of the copy counts as newer than all that is known. Only a leaving that an event had told was guarded, by a clock. Change: an instance that a list lacks is removed as of the list's revision; an entry of an earlier start is ignored; a later start than the removed one is used; an entry that may revive an instance is applied only when the store confirms it 4 s after the restore; what the instance itself reported is kept. In TestEntriesOlderThanTheLeavingAreHeldAfterARestore and TestLeavingByOwnWord the confirmation is told now, and the first one checks in addition that time alone revives nothing.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,7 +74,7 @@
 	// the removal of its entry.
 	removalGrace = 1200 * time.Millisecond
 	// staleEntryTime is how long after a restore of the store an entry that may be older
-	// than an instance's leaving does not revive the instance. Instances that run write
+	// than an instance's leaving does not revive the instance, if the store still has it then. Instances that run write
 	// again within 2 s; the entry of one that has left is removed after three missed
 	// writes.
 	staleEntryTime = 4 * time.Second
@@ -82,7 +82,8 @@
 
 // Directory maintains the newest view. It is safe for concurrent use.
 type Directory struct {
-	// mu guards revisions, observed, changedAt, removeAt, held, leaving and storeRecoveredAt,
+	// mu guards revisions, observed, changedAt, removeAt, held, removedStarts, confirmedAt, leaving
+	// and storeRecoveredAt,
 	// and serializes changes of view.
 	mu   sync.Mutex
 	view atomic.Pointer[View]
@@ -99,6 +100,10 @@
 	removeAt map[string]time.Time
 	// held holds the entries that are applied later, see staleEntryTime.
 	held map[string]heldRecord
+	// removedStarts holds the start of each instance that was removed, in Unix milliseconds.
+	removedStarts map[string]int64
+	// confirmedAt is a time at which the store had no change after the latest one known.
+	confirmedAt time.Time
 	// leaving holds the instances that said that they leave.
 	leaving map[string]departure
 	// storeRecoveredAt is the end of the last outage of the store.
@@ -117,7 +122,7 @@
 	d := &Directory{
 		revisions: make(map[string]revision.Revision), observed: make(map[string]Observation),
 		changedAt: make(map[string]time.Time), removeAt: make(map[string]time.Time), held: make(map[string]heldRecord),
-		leaving: make(map[string]departure),
+		leaving: make(map[string]departure), removedStarts: make(map[string]int64),
 	}
 	d.view.Store(newView(map[string]Instance{}))
 	return d
@@ -139,10 +144,10 @@
 	Instance *Instance
 }
 
-// Replace installs a complete list of instances. After an outage of the store,
-// instances that are missing in the list are kept for reregisterGrace unless they
-// are draining.
-func (d *Directory) Replace(records []Record, afterOutage bool, now time.Time) {
+// Replace installs a complete list of instances, as of a revision of the store. After an
+// outage of the store, instances that are missing in the list are kept for reregisterGrace
+// unless they are draining.
+func (d *Directory) Replace(records []Record, asOf revision.Revision, afterOutage bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if afterOutage {
@@ -153,11 +158,13 @@
 	next := maps.Clone(d.view.Load().Instances)
 	for _, r := range records {
 		listed[r.ID] = true
-		if d.mayPrecedeLeaving(next, r) {
+		switch {
+		case d.precedesStart(next, r):
+		case d.mayPrecedeLeaving(next, r):
 			d.hold(r, now)
-			continue
+		default:
+			d.applyListed(next, r, now)
 		}
-		d.applyRecord(next, r, now)
 	}
 	for id := range d.held {
 		if !listed[id] {
@@ -166,7 +173,7 @@
 	}
 	for id := range next {
 		if !listed[id] {
-			d.applyRecord(next, Record{ID: id, Revision: d.revisions[id] + 1}, now)
+			d.applyRecord(next, Record{ID: id, Revision: max(d.revisions[id]+1, asOf)}, now)
 		}
 	}
 	d.publish(next)
@@ -240,13 +247,14 @@
 	next := maps.Clone(d.view.Load().Instances)
 	changed := false
 	for _, h := range d.held {
-		if !now.Before(h.until) {
+		if !d.confirmedAt.Before(h.until) {
 			d.applyRecord(next, h.Record, now)
 			changed = true
 		}
 	}
 	for id, at := range d.removeAt {
 		if !now.Before(at) {
+			d.removedStarts[id] = next[id].StartedMS
 			delete(next, id)
 			delete(d.removeAt, id)
 			d.recordRemoval(id, now)
@@ -264,19 +272,55 @@
 	}
 }
 
+// Confirm records that the store had no change after the latest list or update at a time.
+func (d *Directory) Confirm(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at.After(d.confirmedAt) {
+		d.confirmedAt = at
+	}
+}
+
+// mayBeOfCopy reports whether a listed entry may be older than what is known: the store was
+// restored from a copy, whose entries keep the numbers that they had.
+func (d *Directory) mayBeOfCopy(r Record) bool {
+	known := d.revisions[r.ID]
+	return r.Instance != nil && r.Revision.Era() > known.Era() && r.Revision.Number() <= known.Number()
+}
+
+// precedesStart reports whether a listed entry is that of an earlier start of an instance.
+func (d *Directory) precedesStart(next map[string]Instance, r Record) bool {
+	current, present := next[r.ID]
+	return present && d.mayBeOfCopy(r) && r.Instance.StartedMS > 0 && r.Instance.StartedMS < current.StartedMS
+}
+
 // mayPrecedeLeaving reports whether a listed entry would revive an instance that is known
-// as draining or removed, although it may be older: the store was restored from a copy, whose
-// entries keep the numbers that they had.
+// as draining or removed, although it may be older.
 func (d *Directory) mayPrecedeLeaving(next map[string]Instance, r Record) bool {
-	known := d.revisions[r.ID]
-	if r.Instance == nil || r.Instance.Draining || r.Revision.Era() <= known.Era() || r.Revision.Number() >= known.Number() {
+	if !d.mayBeOfCopy(r) || r.Instance.Draining {
 		return false
 	}
 	current, present := next[r.ID]
-	return !present || current.Draining && current.StartedMS == r.Instance.StartedMS
+	if present {
+		return current.Draining && current.StartedMS == r.Instance.StartedMS
+	}
+	return r.Instance.StartedMS <= d.removedStarts[r.ID]
 }
 
-// hold keeps an entry for staleEntryTime after it was first held.
+// applyListed applies an entry of a list. What the instance itself reported is kept if the
+// entry may be older.
+func (d *Directory) applyListed(next map[string]Instance, r Record, now time.Time) {
+	observed, known := d.observed[r.ID]
+	ofCopy := known && d.mayBeOfCopy(r) && next[r.ID].StartedMS == r.Instance.StartedMS
+	d.applyRecord(next, r, now)
+	if in, present := next[r.ID]; ofCopy && present {
+		d.observed[r.ID] = observed
+		in.Layers = observed.Layers
+		next[r.ID] = in
+	}
+}
+
+// hold keeps an entry until the store confirms it staleEntryTime after it was first held.
 func (d *Directory) hold(r Record, now time.Time) {
 	until := now.Add(staleEntryTime)
 	if earlier, held := d.held[r.ID]; held && earlier.Revision == r.Revision {
@@ -314,6 +358,9 @@
 		}
 		return
 	}
+	if in, present := next[r.ID]; present {
+		d.removedStarts[r.ID] = in.StartedMS
+	}
 	delete(next, r.ID)
 	delete(d.removeAt, r.ID)
 	d.recordRemoval(r.ID, now)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -41,8 +41,8 @@
 // again. Also guards against missing instances that are never removed.
 func TestMissingInstancesAreKeptAfterAnOutage(t *testing.T) {
 	d := NewDirectory()
-	d.Replace([]Record{newRecord("a", 1, nil), newRecord("b", 2, nil)}, false, start)
-	d.Replace([]Record{newRecord("b", 3, nil)}, true, start.Add(time.Minute))
+	d.Replace([]Record{newRecord("a", 1, nil), newRecord("b", 2, nil)}, 0, false, start)
+	d.Replace([]Record{newRecord("b", 3, nil)}, 0, true, start.Add(time.Minute))
 	assert.Assert(t, isKnown(d, "a"))
 	d.Expire(start.Add(time.Minute + reregisterGrace - time.Millisecond))
 	assert.Assert(t, isKnown(d, "a"))
@@ -56,10 +56,10 @@
 	d := NewDirectory()
 	d.Replace([]Record{
 		newRecord("a", 1, nil), newRecord("b", 2, func(in *Instance) { in.Draining = true }),
-	}, false, start)
+	}, 0, false, start)
 	d.Update([]Record{{ID: "a", Revision: 7}}, start)
 	assert.Assert(t, !isKnown(d, "a"))
-	d.Replace(nil, true, start.Add(time.Minute))
+	d.Replace(nil, 0, true, start.Add(time.Minute))
 	assert.Assert(t, !isKnown(d, "b"))
 }
 
@@ -75,7 +75,7 @@
 	d.Observe(Observation{"a", LayerRange{0, 0}, start.Add(-time.Second)})
 	d.Observe(Observation{"unknown", LayerRange{0, 5}, start})
 	assert.Equal(t, d.View().Instances["a"].Layers, LayerRange{10, 20})
-	d.Replace([]Record{newRecord("a", 5, withLayers(0, 10))}, false, start)
+	d.Replace([]Record{newRecord("a", 5, withLayers(0, 10))}, 0, false, start)
 	assert.Equal(t, d.View().Instances["a"].Layers, LayerRange{10, 20})
 	d.Update([]Record{newRecord("a", 6, withLayers(30, 40))}, start)
 	assert.Equal(t, d.View().Instances["a"].Layers, LayerRange{30, 40})
@@ -101,9 +101,9 @@
 // of its entry (deployment sawt-muscat, day hunt-7900-11).
 func TestInstancesRemovedAfterAnOutageAreKeptBriefly(t *testing.T) {
 	d := NewDirectory()
-	d.Replace([]Record{newRecord("a", 1, nil)}, false, start)
+	d.Replace([]Record{newRecord("a", 1, nil)}, 0, false, start)
 	storeRecoveredAt := start.Add(time.Minute)
-	d.Replace([]Record{newRecord("a", 2, nil)}, true, storeRecoveredAt)
+	d.Replace([]Record{newRecord("a", 2, nil)}, 0, true, storeRecoveredAt)
 	for _, tt := range []struct{ entryRemoved, instanceRemoved time.Duration }{
 		{1500 * time.Millisecond, reregisterGrace},
 		{200 * time.Millisecond, 200*time.Millisecond + removalGrace},
@@ -136,7 +136,7 @@
 			newRecord("drains", revision.New(1, 51), draining), newRecord("restarted", revision.New(1, 52), draining),
 			newRecord("new", revision.New(1, 53), nil),
 		}, start)
-		d.Replace(listed, true, start)
+		d.Replace(listed, 0, true, start)
 		return d
 	}
 	drains := func(d *Directory, id string) bool { return d.View().Instances[id].Draining }
@@ -145,10 +145,13 @@
 	assert.Assert(t, !isKnown(d, "removed") && drains(d, "drains"))
 	assert.Assert(t, !drains(d, "restarted"), "another start under the same id")
 	assert.Assert(t, isKnown(d, "new"))
-	d.Replace(listed, false, start.Add(time.Second)) // the next list of the same era
+	d.Replace(listed, 0, false, start.Add(time.Second)) // the next list of the same era
 	d.Expire(start.Add(staleEntryTime - time.Millisecond))
 	assert.Assert(t, !isKnown(d, "removed") && drains(d, "drains"))
-	d.Expire(start.Add(staleEntryTime))
+	d.Expire(start.Add(time.Minute))
+	assert.Assert(t, !isKnown(d, "removed") && drains(d, "drains"), "the store has not confirmed them since")
+	d.Confirm(start.Add(staleEntryTime))
+	d.Expire(start.Add(time.Minute))
 	assert.Assert(t, isKnown(d, "removed") && !drains(d, "drains"), "the instances run")
 
 	d = newDirectory()
@@ -158,7 +161,7 @@
 	assert.Assert(t, !isKnown(d, "drains"), "a held entry outlives its removal")
 
 	d = newDirectory()
-	d.Replace(listed[1:], false, start.Add(time.Second))
+	d.Replace(listed[1:], 0, false, start.Add(time.Second))
 	d.Expire(start.Add(time.Minute))
 	assert.Assert(t, !isKnown(d, "removed"), "a held entry outlives the list that lacks it")
 }
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -27,15 +27,17 @@
 		{"newer entry of the same start", func(d *Directory) { d.Update([]Record{startedAt(7, 3)}, later) }, true},
 		{"entry of an earlier start", func(d *Directory) { d.Update([]Record{startedAt(6, 3)}, later) }, true},
 		{"entry of a later start", func(d *Directory) { d.Update([]Record{startedAt(8, 3)}, later) }, false},
-		{"list", func(d *Directory) { d.Replace([]Record{startedAt(7, 3)}, true, later) }, true},
+		{"list", func(d *Directory) { d.Replace([]Record{startedAt(7, 3)}, 0, true, later) }, true},
 		{"older copy of the store", func(d *Directory) {
 			d.Update([]Record{startedAt(7, 3)}, later)
-			d.Replace([]Record{startedAt(7, revision.New(1, 2))}, true, later)
+			d.Replace([]Record{startedAt(7, revision.New(1, 2))}, 0, true, later)
+			d.Confirm(later.Add(staleEntryTime))
 			d.Expire(later.Add(staleEntryTime))
 		}, true},
 		{"removed, older copy of the store", func(d *Directory) {
 			d.Update([]Record{{ID: "a", Revision: 3}}, later)
-			d.Replace([]Record{startedAt(7, revision.New(1, 2))}, true, later)
+			d.Replace([]Record{startedAt(7, revision.New(1, 2))}, 0, true, later)
+			d.Confirm(later.Add(staleEntryTime))
 			d.Expire(later.Add(staleEntryTime))
 		}, true},
 		{"own report of layers", func(d *Directory) {
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -25,7 +25,7 @@
 // it has no report.
 func TestLostInstanceWithoutReportIsUsedAgain(t *testing.T) {
 	tracker, directory, now := chain.NewInstanceTracker(), fleet.NewDirectory(), time.Now()
-	directory.Replace([]fleet.Record{{ID: "i", Instance: &fleet.Instance{ID: "i", Service: "s"}}}, false, now)
+	directory.Replace([]fleet.Record{{ID: "i", Instance: &fleet.Instance{ID: "i", Service: "s"}}}, 0, false, now)
 	f := newFaultFinder(&control{refusingEngines{}, &noticeRecorder{directory, tracker, events.Nop()}}, tracker, directory, events.Nop())
 	tracker.RecordLost("i", now)
 	f.RecheckLost(t.Context(), directory.View(), now.Add(2*time.Second))
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -65,13 +65,15 @@
 func (h *instanceHandler) Replace(b feed.Batch[fleet.Record], afterOutage bool) {
 	h.g.reportChange(instanceFeed, b.LatestChange)
 	before := h.g.directory.View()
-	h.g.directory.Replace(b.Records, afterOutage, time.Now())
+	h.g.directory.Replace(b.Records, b.Revision, afterOutage, time.Now())
+	h.g.directory.Confirm(b.ConfirmedAt)
 	h.recordChanges(before, b.Revision)
 	h.g.markSynced(&h.g.instancesSynced)
 }
 
 // Update implements feed.Handler.
 func (h *instanceHandler) Update(b feed.Batch[fleet.Record]) {
+	defer h.g.directory.Confirm(b.ConfirmedAt)
 	if len(b.Records) == 0 {
 		return
 	}
