gateway: Register again whenever a list lacks this gateway

What callers saw: a gateway that started just before a restore was unknown to the others until the next outage. Cause: only a list after an outage or a restore made it register again, and its first list follows none. Found in the review. Change: any list that lacks a gateway which has registered makes it register again.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,8 @@
 	// receives an element when the store lacks it.
 	self       gossip.Peer
 	reregister chan struct{}
+	// registered is true once this gateway has been added to the list of gateways.
+	registered atomic.Bool
 
 	// startedAt is when the process started.
 	startedAt time.Time
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -117,6 +117,7 @@
 			return g.platform.Gateways.Register(ctx, g.self)
 		}()
 		if err == nil {
+			g.registered.Store(true)
 			return
 		}
 		g.log.LogRateLimited(events.GatewayStoreUnavailable).Str("feed", "registration").Err(err).Send()
@@ -127,12 +128,11 @@
 // peerHandler passes the records of gateways to the reporter.
 type peerHandler struct{ g *Gateway }
 
-// Replace implements feed.Handler. After an outage or a restore, the store may lack this
-// gateway.
-func (h *peerHandler) Replace(b feed.Batch[gossip.PeerRecord], afterOutage bool) {
+// Replace implements feed.Handler. After a restore, the store may lack this gateway.
+func (h *peerHandler) Replace(b feed.Batch[gossip.PeerRecord], _ bool) {
 	h.Update(b)
 	listed := slices.ContainsFunc(b.Records, func(r gossip.PeerRecord) bool { return r.Peer == h.g.self })
-	if !afterOutage || listed {
+	if listed || !h.g.registered.Load() {
 		return
 	}
 	select {
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
+	"github.com/nutmegroute/nutmegroute/internal/feed"
 	"github.com/nutmegroute/nutmegroute/internal/fleet"
 	"github.com/nutmegroute/nutmegroute/internal/gossip"
 	"github.com/nutmegroute/nutmegroute/internal/quarantine"
@@ -112,3 +113,19 @@
 	})
 	assert.Assert(t, !g.ranksFirst(time.Now()))
 }
+
+// Guards against a gateway that is never registered again because the store lost its entry
+// before the gateway had listed the others: that list follows no outage.
+func TestGatewayMissingInItsFirstListRegistersAgain(t *testing.T) {
+	g := newTestGateway(t, routing.Route{}, http.NotFoundHandler())
+	g.reporter.Store(newTestReporter(t, "g1"))
+	g.self = gossip.Peer{Name: "g1"}
+	h := &peerHandler{g}
+	h.Replace(feed.Batch[gossip.PeerRecord]{}, false)
+	assert.Equal(t, len(g.reregister), 0, "it has not registered yet")
+	g.registered.Store(true)
+	h.Replace(feed.Batch[gossip.PeerRecord]{Records: []gossip.PeerRecord{{Peer: g.self}}}, false)
+	assert.Equal(t, len(g.reregister), 0)
+	h.Replace(feed.Batch[gossip.PeerRecord]{}, false)
+	assert.Equal(t, len(g.reregister), 1)
+}
