gateway: Tell the lease the first era too

What callers saw: nothing; two gateways could place layers at a time after a restore, and their orders are guarded by a number. Cause: the lease learned of an era only when it rose. A gateway that had never read the lease took that rise for its first era, and the lost lease at once. Found in the review. Change: the first era that a feed reads is passed on to the lease. The list of eras in TestNewEraIsLoggedAndEndsTheLease has one more. Result: go test -race of these tests passes.

--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -13,7 +13,11 @@
 	known, former := g.eraKnown, g.era
 	g.era, g.eraKnown = max(g.era, era), true
 	g.mu.Unlock()
-	if !known || era <= former {
+	if known && era <= former {
+		return
+	}
+	if !known {
+		g.platform.Lease.ObserveEra(era)
 		return
 	}
 	g.log.Log(events.StoreRestored).Uint64("era", era).Uint64("former", former).Send()
--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -54,6 +54,6 @@
 		(&configHandler{g}).Replace(feed.Batch[routing.Configuration]{Revision: at, LatestChange: at}, false)
 		(&instanceHandler{g}).Replace(feed.Batch[fleet.Record]{Revision: at, LatestChange: at}, false)
 	}
-	assert.Assert(t, slices.Equal(lease.eras, []uint64{4, 5}), "%v", lease.eras)
+	assert.Assert(t, slices.Equal(lease.eras, []uint64{3, 4, 5}), "%v", lease.eras)
 	assert.Equal(t, log.count("store-restored"), 2, "%s", log.text.String())
 }
