--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -120,6 +120,7 @@
 	g := newTestGateway(t, routing.Route{}, http.NotFoundHandler())
 	g.reporter.Store(newTestReporter(t, "g1"))
 	g.self = gossip.Peer{Name: "g1"}
+	g.platform.Lease = &leaseWithEras{}
 	h := &peerHandler{g}
 	h.Replace(feed.Batch[gossip.PeerRecord]{}, false)
 	assert.Equal(t, len(g.reregister), 0, "it has not registered yet")
