fleet: Test the word of instances after a restore of the store

Cause: An older copy of the store may hold an entry, ready, of an instance that said that it leaves, also after its entry was removed.

Change: Two cases of TestLeavingByOwnWord list such an entry in the next era and let the time pass for which it is held back.

Result: both pass.

--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -28,6 +28,16 @@
 		{"entry of an earlier start", func(d *Directory) { d.Update([]Record{startedAt(6, 3)}, later) }, true},
 		{"entry of a later start", func(d *Directory) { d.Update([]Record{startedAt(8, 3)}, later) }, false},
 		{"list", func(d *Directory) { d.Replace([]Record{startedAt(7, 3)}, true, later) }, true},
+		{"older copy of the store", func(d *Directory) {
+			d.Update([]Record{startedAt(7, 3)}, later)
+			d.Replace([]Record{startedAt(7, revision.New(1, 2))}, true, later)
+			d.Expire(later.Add(staleEntryTime))
+		}, true},
+		{"removed, older copy of the store", func(d *Directory) {
+			d.Update([]Record{{ID: "a", Revision: 3}}, later)
+			d.Replace([]Record{startedAt(7, revision.New(1, 2))}, true, later)
+			d.Expire(later.Add(staleEntryTime))
+		}, true},
 		{"own report of layers", func(d *Directory) {
 			d.Observe(Observation{ID: "a", Layers: LayerRange{0, 4}, At: later})
 		}, true},
