lease: Judge a write in a new era by when its answer arrives

What callers saw: nothing; two gateways could place layers at a time, and their orders are guarded by a number. Cause: a renewal that was sent while the lease was held, and applied after it had expired and another process had taken it, counted as a write of the holder, if a restore in between had brought back the version that it was conditional on. TestWriteAppliedAfterTheLeaseExpiredDoesNotHoldIt fails before this change. Change: a write that is answered in a newer era makes a holder only of one that still holds the lease when the answer arrives.

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -242,12 +242,12 @@
 // the duration from a later time, at which they read the lease.
 func (h *Holder) acquire(ctx context.Context, version uint64) error {
 	sent := h.opts.Now()
-	h.mu.Lock()
-	held := sent.Before(h.validUntil) || sent.Before(h.claimUntil)
-	h.mu.Unlock()
 	written, err := h.write(ctx, h.encodedRecord, version)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	// A write may be applied after the lease has expired and another process has held it.
+	answered := h.opts.Now()
+	held := answered.Before(h.validUntil) || answered.Before(h.claimUntil)
 	switch {
 	case err == nil && eraOf(written) < h.era:
 		// The store was restored after the write, which may be lost.
--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -157,3 +157,27 @@
 	assert.NilError(t, err)
 	assert.Assert(t, after > before)
 }
+
+// Guards against a second holder whose write was applied after its lease had expired: another
+// process held the lease meanwhile, and a restore brought back the version that was written.
+func TestWriteAppliedAfterTheLeaseExpiredDoesNotHoldIt(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	store := &restoredStore{era: 1, around: func() bool { return false }}
+	h, err := NewHolder(store, "group", "", Options{Duration: 10 * time.Second, Now: func() time.Time { return now }})
+	assert.NilError(t, err)
+	assert.NilError(t, h.AcquireOrRenew(t.Context()))
+	store.copied = store.content
+	now = now.Add(8 * time.Second)
+	delayed := false
+	store.around = func() bool {
+		if !delayed {
+			delayed = true
+			now = now.Add(3 * time.Second)
+			store.restore()
+		}
+		return false
+	}
+	assert.ErrorIs(t, h.AcquireOrRenew(t.Context()), ErrConflict)
+	_, err = h.Check(now)
+	assert.ErrorIs(t, err, ErrNotHeld)
+}
