--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -177,7 +177,7 @@
 		}
 		return false
 	}
-	assert.ErrorIs(t, h.AcquireOrRenew(t.Context()), ErrConflict)
+	assert.ErrorIs(t, h.AcquireOrRenew(t.Context()), ErrHeld)
 	_, err = h.Check(now)
 	assert.ErrorIs(t, err, ErrNotHeld)
 }
