review: Show that taking away a deployment's last keys opens it

Change: review/1, a script with its stand-ins in review/tool, built by review/build.sh. Nothing of the product changes.

--- /dev/null
+++ b/review/tool/gateway.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// gatewayProgram is the program of the deploy file, from the folder of a case.
+const gatewayProgram = "../../target/nutmegroute-gateway"
+
+const settingsFormat = `node = %q
+role = "gateway"
+machine_class = "edge"
+serves = ["edge","control"]
+ip = "127.0.0.1"
+zone = %q
+region = "om-muscat"
+port_range = [%d,%d]
+seeds = []
+bootstrap = true
+in_tolerance = false
+discovery = "platform"
+entry = "vip"
+heartbeat_ms = 1200
+[listen]
+front = %q
+ready = %q
+[limits]
+cpu_share = 0.304
+cores = 1
+memory_mb = %d
+max_fds = 4200
+link_mbps = 1000.0
+disk_mb = 0
+[bounds]
+contact_ms = 3000
+drain_ms = 2000
+grace_s = 8
+loss_slack_ms = 200
+config_deadline_ms = 2000
+rollback_slack_ms = 250
+outer_ms = 5000
+retry_ratio = 0.2
+retry_window_s = 10
+retry_slack = 196
+recovery_s = 12
+pass_ms = 120
+stall_ms = 3000
+[platform_store]
+address = %q
+form = "objects"
+writes_per_s = 400
+reads_per_s = 2000
+history_s = 20
+value_bytes = 1048576
+`
+
+// memoryLimitMB is memory_mb of the settings.
+const memoryLimitMB = 284
+
+// gateway is one process of the project with its settings, as the platform runs it: it is
+// started again after it has ended.
+type gateway struct {
+	name, front, ready, settings string
+	log                          *os.File
+
+	mu       sync.Mutex
+	command  *exec.Cmd
+	ended    chan struct{}
+	stopping bool
+	starts   int
+}
+
+func startGateway(dir, name, zone, storeAddress string) (*gateway, error) {
+	first := freePortPair()
+	g := &gateway{name: name, front: freeAddress(), ready: freeAddress(), settings: filepath.Join(dir, name+".toml")}
+	if err := g.writeSettings(zone, storeAddress, first); err != nil {
+		return nil, err
+	}
+	var err error
+	if g.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
+		return nil, err
+	}
+	return g, g.start()
+}
+
+func (g *gateway) writeSettings(zone, storeAddress string, firstPort int) error {
+	text := fmt.Sprintf(settingsFormat, g.name, zone, firstPort, firstPort+1, g.front, g.ready, memoryLimitMB, storeAddress)
+	return os.WriteFile(g.settings, []byte(text), 0o600)
+}
+
+func (g *gateway) start() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := exec.Command(gatewayProgram)
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "NUTMEGROUTE_BOOT=" + g.settings}
+	c.Stdout, c.Stderr = g.log, g.log
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	g.command, g.ended = c, ended
+	g.starts++
+	go func() {
+		err := c.Wait()
+		close(ended)
+		g.mu.Lock()
+		again := !g.stopping
+		g.mu.Unlock()
+		if again {
+			note("process %s ended: %v; the platform starts it again", g.name, err)
+			time.Sleep(300 * time.Millisecond)
+			_ = g.start()
+		}
+	}()
+	return nil
+}
+
+func (g *gateway) signal(s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_ = g.command.Process.Signal(s)
+}
+
+// kill ends the process for good.
+func (g *gateway) kill() {
+	g.mu.Lock()
+	g.stopping = true
+	c, ended := g.command, g.ended
+	g.mu.Unlock()
+	_ = c.Process.Kill()
+	<-ended
+}
+
+// memoryMB returns the resident memory of the process, without file pages.
+func (g *gateway) memoryMB() int {
+	g.mu.Lock()
+	pid := g.command.Process.Pid
+	g.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(value)[0])
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
+// awaitReady waits until the gateway answers the platform's readiness checks with 200.
+func (g *gateway) awaitReady(limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.ready+"/v1/ready", nil)
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		cancel()
+		if err == nil && resp.StatusCode == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fail("no free port: %v", err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// freePortPair returns the first of two free neighbouring ports, for TCP and UDP.
+func freePortPair() int {
+	for range 100 {
+		_, text, _ := net.SplitHostPort(freeAddress())
+		port, _ := strconv.Atoi(text)
+		if portFree(port) && portFree(port+1) {
+			return port
+		}
+	}
+	fail("no free pair of ports")
+	return 0
+}
+
+func portFree(port int) bool {
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	u, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	_ = u.Close()
+	return true
+}
