review: Show that a stop cuts requests that wait for a server

A request may wait in the gateway for 0.3 of its time budget, whatever the end of a graceful shutdown, which then closes its connection instead of refusing it.

--- a/review/tool/client.go
+++ b/review/tool/client.go
@@ -87,9 +87,14 @@
 
 // configuration returns the operator's configuration with two routes to one plain service.
 func configuration(version int, tenants []tenant) map[string]any {
+	return configurationWithTimeout(version, tenants, 2500*time.Millisecond)
+}
+
+// configurationWithTimeout is configuration with another timeout of the routes.
+func configurationWithTimeout(version int, tenants []tenant, timeout time.Duration) map[string]any {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": 2500, "slo_ms": 150,
+			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": timeout.Milliseconds(), "slo_ms": 150,
 			"priority": 2, "service": accounts, "max_attempts": attempts, "public": false, "sticky": false,
 		}
 	}
--- a/review/tool/gateway.go
+++ b/review/tool/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -82,8 +83,10 @@
 }
 
 func startGateway(dir, name, zone, storeAddress string) (*gateway, error) {
-	first := freePortPair()
-	g := &gateway{name: name, front: freeAddress(), ready: freeAddress(), settings: filepath.Join(dir, name+".toml")}
+	first := freePorts(4)
+	g := &gateway{
+		name: name, front: localAddress(first + 2), ready: localAddress(first + 3), settings: filepath.Join(dir, name+".toml"),
+	}
 	if err := g.writeSettings(zone, storeAddress, first); err != nil {
 		return nil, err
 	}
@@ -177,30 +180,27 @@
 	return false
 }
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("no free port: %v", err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-// freePortPair returns the first of two free neighbouring ports, for TCP and UDP.
-func freePortPair() int {
-	for range 100 {
-		_, text, _ := net.SplitHostPort(freeAddress())
-		port, _ := strconv.Atoi(text)
-		if portFree(port) && portFree(port+1) {
-			return port
+// freePorts returns the first of count free neighbouring ports, for TCP and UDP. It is below the
+// ports that the system gives to clients.
+func freePorts(count int) int {
+	const lowest, highest = 20000, 32000
+	for range 1000 {
+		first, free := lowest+rand.IntN(highest-lowest), true
+		for i := range count {
+			free = free && portFree(first+i)
+		}
+		if free {
+			return first
 		}
 	}
-	fail("no free pair of ports")
+	fail("no free ports")
 	return 0
 }
 
+func localAddress(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
 func portFree(port int) bool {
-	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	address := localAddress(port)
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return false
--- a/review/tool/server.go
+++ b/review/tool/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -54,14 +55,18 @@
 	born                       int64
 	runs                       *runs
 	store                      *store
-	// answer, if set, answers a request that has run in place of the usual answer.
-	answer func(w http.ResponseWriter, r *http.Request) bool
 
-	mu   sync.Mutex
-	busy int
-	seq  int
+	// places holds an element for each request that the server works on.
+	places chan struct{}
+
+	mu      sync.Mutex
+	waiting int
+	seq     int
 }
 
+// queueLength is how many requests a server lets wait for a place.
+const queueLength = 24
+
 func startPlainServer(st *store, rs *runs, id, service, zone string, slots int, work time.Duration) (*plainServer, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -69,7 +74,7 @@
 	}
 	s := &plainServer{
 		id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, work: work,
-		born: time.Now().UnixMilli(), runs: rs, store: st,
+		born: time.Now().UnixMilli(), runs: rs, store: st, places: make(chan struct{}, slots),
 	}
 	server := &http.Server{Handler: s, IdleTimeout: 15 * time.Second}
 	go func() { _ = server.Serve(l) }()
@@ -116,35 +121,43 @@
 	if err != nil {
 		return
 	}
-	if !s.begin() {
+	if !s.begin(r.Context()) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer s.end()
+	defer func() { <-s.places }()
 	s.runs.add(run{id, s.id, r.Header.Get("X-Tenant"), r.Method, r.RequestURI, bytes, time.Now()})
 	time.Sleep(s.work)
 	w.Header().Set("X-Response-Seal", "seal-of-"+s.id)
-	if s.answer != nil && s.answer(w, r) {
-		return
-	}
 	body := fmt.Sprintf("answer of %s to %s\n", s.id, id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = io.WriteString(w, body)
 }
 
-func (s *plainServer) begin() bool {
+// begin waits for a place. It returns false if too many requests wait or the caller has left.
+func (s *plainServer) begin(ctx context.Context) bool {
+	select {
+	case s.places <- struct{}{}:
+		return true
+	default:
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.busy >= s.slots {
+	if s.waiting >= queueLength {
+		s.mu.Unlock()
+		return false
+	}
+	s.waiting++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.waiting--
+	}()
+	select {
+	case s.places <- struct{}{}:
+		return true
+	case <-ctx.Done():
 		return false
 	}
-	s.busy++
-	return true
-}
-
-func (s *plainServer) end() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.busy--
 }
