review: Show a withdrawn key served after a restore of the store

A gateway that starts on the older configuration of a restored store serves what it allows, although the other gateways report a newer one.

--- a/review/tool/gateway.go
+++ b/review/tool/gateway.go
@@ -163,6 +163,13 @@
 	return g.command.ProcessState.String()
 }
 
+// startCount returns how often the process was started.
+func (g *gateway) startCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.starts
+}
+
 // awaitReady waits until the gateway answers the platform's readiness checks with 200.
 func (g *gateway) awaitReady(limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
--- a/review/tool/server.go
+++ b/review/tool/server.go
@@ -88,8 +88,11 @@
 	return s, nil
 }
 
-// beat writes the server's entry to the store. Between two changes only seq differs.
+// beat writes the server's entry to the store, unless that is away. Between two changes only seq differs.
 func (s *plainServer) beat() {
+	if s.store.isAway() {
+		return
+	}
 	s.mu.Lock()
 	s.seq++
 	seq := s.seq
--- a/review/tool/store.go
+++ b/review/tool/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -22,6 +23,45 @@
 	kinds   map[string]map[string]object
 	history []change
 	changed chan struct{}
+	// era is the number in all answers, one higher after each restore. away is true while the
+	// store refuses all calls.
+	era  uint64
+	away bool
+}
+
+// copied is an older state of the store.
+type copied struct {
+	rev     uint64
+	kinds   map[string]map[string]object
+	history []change
+}
+
+// copyNow returns the present state.
+func (s *store) copyNow() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := copied{s.rev, make(map[string]map[string]object), slices.Clone(s.history)}
+	for kind, objects := range s.kinds {
+		c.kinds[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// leave makes the store refuse all calls until restore.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back from a copy. Revisions are given out again from there.
+func (s *store) restore(c copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev, s.kinds, s.history, s.away = c.rev, c.kinds, c.history, false
+	s.era++
 }
 
 type object struct {
@@ -52,7 +92,7 @@
 		return nil, err
 	}
 	s := &store{
-		address: l.Addr().String(), rev: 1, kinds: make(map[string]map[string]object), changed: make(chan struct{}),
+		address: l.Addr().String(), rev: 1, era: 1, kinds: make(map[string]map[string]object), changed: make(chan struct{}),
 	}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(l) }()
@@ -113,8 +153,13 @@
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
-	w.Header().Set("Store-Era", "1")
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	away := s.away
+	s.mu.Unlock()
 	switch {
+	case away:
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.Method == http.MethodGet && name != "":
 		s.serveGet(w, kind, name)
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
@@ -161,6 +206,11 @@
 	for expired := false; ; {
 		s.mu.Lock()
 		events, rev, changed := []change{}, s.rev, s.changed
+		if after > rev {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		for _, c := range s.history {
 			if c.kind == kind && c.at > after {
 				events = append(events, c)
@@ -173,6 +223,9 @@
 		}
 		select {
 		case <-changed:
+			if s.isAway() {
+				panic(http.ErrAbortHandler) // a watch that waits may be cut off
+			}
 		case <-timer.C:
 			expired = true
 		case <-r.Context().Done():
@@ -181,6 +234,12 @@
 	}
 }
 
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
 func (s *store) serveWrite(w http.ResponseWriter, r *http.Request, kind, name string) {
 	data, err := io.ReadAll(r.Body)
 	var body object
