gateway: Keep the times of a stop on the monotonic clock

Callers saw: streams sent up to 5.4 s after SIGTERM are taken by a gateway whose clock jumps back by 2.4 s, and cut when its grace time is over.

Cause: the end of the stop was kept as Unix nanoseconds in an atomic integer. Requests were compared with it by the time of day, the drain ended by the monotonic clock.

TestStopIgnoresJumpsOfTheTimeOfDay against the old comparison: "jump of -3 s, 4s after the start of the stop" is accepted.

Change: a stop is one immutable value, made from time.Now, which keeps the monotonic reading in all times that derive from it. The drain and the acceptance of requests ask this value. A jump can't move the one against the other any more.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -110,8 +110,8 @@
 	if c.refuseQuarantined() {
 		return
 	}
-	if !c.endsBeforeStop() {
-		c.refuseStopping()
+	if stop := g.stop.Load(); !c.acceptedBy(stop) {
+		c.refuseStopping(stop)
 		return
 	}
 	g.budget.RecordRequest(c.service.Name, c.started)
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"gotest.tools/v3/assert"
 
@@ -15,7 +16,7 @@
 // finish: the clients' estimate of the output length is often far off, so only
 // the maximum output length counts. Using the estimate broke the rule LOST
 // (deployment sawt-muscat, day mix of the users' test bench, seed 237698237803).
-func TestEndsBeforeStop(t *testing.T) {
+func TestAcceptedByStop(t *testing.T) {
 	const drainTimeout = 8 * time.Second
 	model := &routing.Service{Name: "m", Model: &routing.Model{}}
 	plain := &routing.Service{Name: "p"}
@@ -38,15 +39,46 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g := &Gateway{settings: Settings{DrainTimeout: drainTimeout}}
-			g.drainDeadline.Store(start.Add(drainTimeout - drainMargin).UnixNano())
+			g.stop.Store(newStop(start, drainTimeout))
 			arrival := start.Add(tt.sinceStopBegan)
 			c := &call{
 				g: g, inbound: tt.inbound, service: tt.service, started: arrival, deadline: arrival.Add(time.Second),
 				route: &routing.Route{LatencyObjective: 500 * time.Millisecond},
 			}
-			assert.Equal(t, c.endsBeforeStop(), tt.want)
+			assert.Equal(t, c.acceptedBy(g.stop.Load()), tt.want)
 		})
 	}
 	c := &call{g: &Gateway{}, service: model, started: start, route: &routing.Route{}}
-	assert.Assert(t, c.endsBeforeStop(), "must be accepted: no shutdown has begun")
+	assert.Assert(t, c.acceptedBy(nil), "must be accepted: no shutdown has begun")
+}
+
+// Guards against a stopping gateway that accepts requests which it can't finish because the time
+// of day jumped back after the stop began, and refuses others because it jumped forward.
+func TestStopIgnoresJumpsOfTheTimeOfDay(t *testing.T) {
+	const drainTimeout = 8 * time.Second
+	begun := time.Now()
+	for _, jump := range []int64{0, -3, 3} {
+		g := &Gateway{settings: Settings{DrainTimeout: drainTimeout}}
+		g.stop.Store(newStop(begun, drainTimeout))
+		for sinceStopBegan, want := range map[time.Duration]bool{time.Second: true, 4 * time.Second: false} {
+			arrival := afterJump(t, begun.Add(sinceStopBegan), jump)
+			c := &call{
+				g: g, inbound: Inbound{MaxOutputTokens: 2000}, service: &routing.Service{Name: "m", Model: &routing.Model{}},
+				started: arrival, route: &routing.Route{LatencyObjective: 500 * time.Millisecond},
+			}
+			assert.Equal(t, c.acceptedBy(g.stop.Load()), want, "jump of %d s, %v after the start of the stop", jump, sinceStopBegan)
+		}
+	}
+}
+
+// afterJump returns what time.Now would return at t if the time of day had jumped by some seconds
+// before: its monotonic clock reading is that of t. Package time has no way to make such a time.
+func afterJump(t *testing.T, at time.Time, seconds int64) time.Time {
+	t.Helper()
+	const secondsShift = 30 // position of the seconds in the first word of a time.Time
+	jumped := at
+	*(*int64)(unsafe.Pointer(&jumped)) += seconds << secondsShift
+	assert.Equal(t, jumped.Sub(at), time.Duration(0))
+	assert.Equal(t, jumped.Round(0).Sub(at.Round(0)), time.Duration(seconds)*time.Second)
+	return jumped
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,9 +89,8 @@
 	inProgress requestSet
 	// isPlacer is true while this gateway places layers.
 	isPlacer atomic.Bool
-	// drainDeadline is when a graceful shutdown ends, in Unix nanoseconds; 0 if
-	// none has begun.
-	drainDeadline atomic.Int64
+	// stop is the graceful stop in progress, nil if none has begun.
+	stop atomic.Pointer[stop]
 
 	// mu guards configConfirmedAt, firstInstanceAt, membersChangedAt, era, eraKnown,
 	// instancesSynced, configSynced and quarantinesSynced.
