retry, chain: Count time slots by the monotonic clock

Cause: the slots of the retry budget's window and of the recent load of an instance were numbered from the Unix epoch by the time of day. A jump forward emptied the window, so that the budget could be used again in it; a jump back stretched it.

Change: slots are counted from the first use, by differences of times, which go by the monotonic clock.

--- a/internal/chain/recent.go
+++ b/internal/chain/recent.go
@@ -9,24 +9,25 @@
 // recentLoad is the load that this gateway added to an instance in the current and the
 // previous slot.
 type recentLoad struct {
-	// slot is the number of the current slot since the Unix epoch.
-	slot                int64
+	// start is when the current slot began.
+	start               time.Time
 	tokenLayers         float64
 	requests            int
 	previousTokenLayers float64
 	previousRequests    int
 }
 
-// advance makes the slot of now the current one.
+// advance makes the slot of now the current one. It goes by the monotonic clock.
 func (r *recentLoad) advance(now time.Time) {
-	slot := now.UnixNano() / int64(recentSlot)
+	elapsed := now.Sub(r.start)
 	switch {
-	case slot == r.slot:
+	case elapsed < recentSlot:
 		return
-	case slot == r.slot+1:
-		*r = recentLoad{slot: slot, previousTokenLayers: r.tokenLayers, previousRequests: r.requests}
+	case elapsed < 2*recentSlot:
+		start := r.start.Add(recentSlot)
+		*r = recentLoad{start: start, previousTokenLayers: r.tokenLayers, previousRequests: r.requests}
 	default:
-		*r = recentLoad{slot: slot}
+		*r = recentLoad{start: now}
 	}
 }
 
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -3,10 +3,10 @@
 import (
 	"testing"
 	"time"
-	"unsafe"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/nutmegroute/nutmegroute/internal/clocktest"
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
 
@@ -61,7 +61,7 @@
 		g := &Gateway{settings: Settings{DrainTimeout: drainTimeout}}
 		g.stop.Store(newStop(begun, drainTimeout))
 		for sinceStopBegan, want := range map[time.Duration]bool{time.Second: true, 4 * time.Second: false} {
-			arrival := afterJump(t, begun.Add(sinceStopBegan), jump)
+			arrival := clocktest.AfterJump(t, begun.Add(sinceStopBegan), jump)
 			c := &call{
 				g: g, inbound: Inbound{MaxOutputTokens: 2000}, service: &routing.Service{Name: "m", Model: &routing.Model{}},
 				started: arrival, route: &routing.Route{LatencyObjective: 500 * time.Millisecond},
@@ -70,15 +70,3 @@
 		}
 	}
 }
-
-// afterJump returns what time.Now would return at t if the time of day had jumped by some seconds
-// before: its monotonic clock reading is that of t. Package time has no way to make such a time.
-func afterJump(t *testing.T, at time.Time, seconds int64) time.Time {
-	t.Helper()
-	const secondsShift = 30 // position of the seconds in the first word of a time.Time
-	jumped := at
-	*(*int64)(unsafe.Pointer(&jumped)) += seconds << secondsShift
-	assert.Equal(t, jumped.Sub(at), time.Duration(0))
-	assert.Equal(t, jumped.Round(0).Sub(at.Round(0)), time.Duration(seconds)*time.Second)
-	return jumped
-}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -45,8 +45,11 @@
 	// which are not known, have left the window.
 	predecessorUntil time.Time
 
-	// mu guards services and peers.
-	mu       sync.Mutex
+	// mu guards origin, services and peers.
+	mu sync.Mutex
+	// origin is when the slot with the number 0 began. The first one that is used comes after
+	// a whole window.
+	origin   time.Time
 	services map[string]*slidingWindow
 	peers    map[string]*peerUsage
 }
@@ -75,8 +78,8 @@
 	unreportedTime = 2 * maxReportAge
 )
 
-// slidingWindow counts the requests and repeats of one service per slot. Slots
-// are numbered from the Unix epoch; currentSlot is the number of the latest.
+// slidingWindow counts the requests and repeats of one service per slot. currentSlot
+// is the number of the latest one.
 type slidingWindow struct {
 	requests, repeats [slotCount + 1]int
 	currentSlot       int64
@@ -310,7 +313,7 @@
 
 // windowAt returns the window of a service, advanced to now.
 func (b *Budget) windowAt(service string, now time.Time) *slidingWindow {
-	slot := now.UnixNano() / int64(b.window/slotCount)
+	slot := b.slotAt(now)
 	w := b.services[service]
 	if w == nil {
 		w = &slidingWindow{currentSlot: slot}
@@ -323,3 +326,12 @@
 	w.currentSlot = max(w.currentSlot, slot)
 	return w
 }
+
+// slotAt returns the number of the slot of now. It goes by the monotonic clock: after a jump of
+// the time of day the window still spans the same time.
+func (b *Budget) slotAt(now time.Time) int64 {
+	if b.origin.IsZero() {
+		b.origin = now.Add(-2 * b.window)
+	}
+	return int64(now.Sub(b.origin) / (b.window / slotCount))
+}
