routing: Require keys also when no team holds one any more

Callers saw: after a configuration that takes away the last keys of all teams, purchases with the withdrawn key, and with one that nobody ever held, run and are answered 200.

Cause: whether requests need a key was derived from the size of the index by API key. An index that became empty looked like a deployment without teams.

Change: the configuration says whether keys are required: its list of tenants is there, whatever it holds. The index only answers who holds a key. A configuration relayed by a gateway of an earlier version has no such statement; teams in it still require keys, also without any key.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -180,18 +180,8 @@
 		return false
 	}
 	c.route, c.urgency = route, route.Priority
-	if table.HasTeams() {
-		team, err := table.Team(c.inbound.Credential)
-		switch {
-		case err == nil:
-			c.team = team.Name
-			if team.Priority != nil {
-				c.urgency = *team.Priority
-			}
-		case !route.Public:
-			c.deny(http.StatusUnauthorized, err)
-			return false
-		}
+	if !c.identifyTeam(table) {
+		return false
 	}
 	c.service = table.Services()[route.PickService(rand.Float64())]
 	timeout := route.Timeout
@@ -205,6 +195,24 @@
 	return true
 }
 
+// identifyTeam finds the team that holds the request's API key. If the route requires a key and
+// no team holds it, it answers the request and returns false.
+func (c *call) identifyTeam(table *routing.Table) bool {
+	team, err := table.Team(c.inbound.Credential)
+	if err != nil {
+		if table.RequiresKey(c.route) {
+			c.deny(http.StatusUnauthorized, err)
+			return false
+		}
+		return true
+	}
+	c.team = team.Name
+	if team.Priority != nil {
+		c.urgency = *team.Priority
+	}
+	return true
+}
+
 // defaultTimeout applies to requests for which neither the route nor the client
 // sets a timeout.
 const defaultTimeout = 30 * time.Second
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -41,7 +41,7 @@
 	}
 	h.g.idleLimits.set(table.Limits().IdleTimeout, time.Now())
 	h.g.log.Log(events.ConfigurationInstalled).Int64("version", c.Version).Uint64("era", at.Era()).Uint64("revision", at.Number()).
-		Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Send()
+		Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Bool("keys_required", c.KeysRequired).Send()
 	if r := h.g.reporter.Load(); r != nil {
 		r.SetConfiguration(c.Version)
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -126,7 +126,10 @@
 	Routes   []Route
 	Services []Service
 	Teams    []Team
-	Limits   Limits
+	// KeysRequired is true if requests need an API key, unless their route is public. No
+	// team may hold one any more.
+	KeysRequired bool
+	Limits       Limits
 }
 
 var (
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -13,8 +13,9 @@
 	// hosts holds the routes by host and path prefix.
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
-	// teams holds the teams by API key.
-	teams map[string]*Team
+	// keysRequired is Configuration.KeysRequired; teams holds the teams by API key.
+	keysRequired bool
+	teams        map[string]*Team
 }
 
 // NewTable returns the table of a configuration, or ErrInvalid if a route is
@@ -26,6 +27,8 @@
 		hosts:    make(map[string]map[string]*Route),
 		services: make(map[string]*Service, len(c.Services)),
 		teams:    make(map[string]*Team),
+		// A gateway of an earlier version passes configurations on without KeysRequired.
+		keysRequired: c.KeysRequired || len(c.Teams) > 0,
 	}
 	for _, s := range c.Services {
 		t.services[s.Name] = &s
@@ -98,9 +101,9 @@
 	return nil, ErrUnknownKey
 }
 
-// HasTeams reports whether there are API keys. If there are none, routes that are
-// not public need no API key either.
-func (t *Table) HasTeams() bool { return len(t.teams) > 0 }
+// RequiresKey reports whether a request of the route needs an API key. If no team holds one,
+// no request has the one that it needs.
+func (t *Table) RequiresKey(r *Route) bool { return t.keysRequired && !r.Public }
 
 // PickService returns a service of the route, chosen by weight. draw is a random
 // number, uniform in [0, 1).
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -54,6 +54,26 @@
 	assert.ErrorIs(t, err, ErrUnknownKey)
 }
 
+// Guards against a table whose teams hold no key any more and that asks for none, also if the
+// configuration came from a gateway that does not know KeysRequired.
+func TestRequiresKey(t *testing.T) {
+	for _, tt := range []struct {
+		configuration Configuration
+		want          bool
+	}{
+		{Configuration{}, false},
+		{Configuration{KeysRequired: true}, true},
+		{Configuration{KeysRequired: true, Teams: []Team{{Name: "t"}}}, true},
+		{Configuration{Teams: []Team{{Name: "t"}}}, true},
+		{Configuration{KeysRequired: true, Teams: []Team{{Name: "t", Keys: []string{"k"}}}}, true},
+	} {
+		table, err := NewTable(tt.configuration)
+		assert.NilError(t, err)
+		assert.Equal(t, table.RequiresKey(&Route{}), tt.want, "%+v", tt.configuration)
+		assert.Assert(t, !table.RequiresKey(&Route{Public: true}))
+	}
+}
+
 // Guards against a configuration that is replaced by one with the same or an older
 // version.
 func TestInstallIgnoresOlderVersions(t *testing.T) {
