routing: Give no team the key without text

Cause: an API key without text in a configuration was entered into the index, and a request without a key was looked up under it.

Evidence: TestKeyWithoutTextIsHeldByNoTeam against the code before: the team is returned instead of ErrUnknownKey.

Change: the index leaves out keys without text.

Result: the tests of internal/routing pass.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -35,7 +35,9 @@
 	}
 	for _, team := range c.Teams {
 		for _, key := range team.Keys {
-			t.teams[key] = &team
+			if key != "" { // the key of a request without one
+				t.teams[key] = &team
+			}
 		}
 	}
 	for _, r := range c.Routes {
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -54,6 +54,17 @@
 	assert.ErrorIs(t, err, ErrUnknownKey)
 }
 
+// Guards against a request without an API key that gets the team of an entry without text in the
+// configuration.
+func TestKeyWithoutTextIsHeldByNoTeam(t *testing.T) {
+	table, err := NewTable(Configuration{Teams: []Team{{Name: "t", Keys: []string{"", "k"}}}})
+	assert.NilError(t, err)
+	_, err = table.Team("")
+	assert.ErrorIs(t, err, ErrUnknownKey)
+	_, err = table.Team("k")
+	assert.NilError(t, err)
+}
+
 // Guards against a table whose teams hold no key any more and that asks for none, also if the
 // configuration came from a gateway that does not know KeysRequired.
 func TestRequiresKey(t *testing.T) {
