gateway: Refuse what waits for an instance before a stop ends

Callers saw: purchases that a stopping gateway took lose their connections at the end of its grace time, up to 5 s after they were read, though no server ran them and a refusal would have let them try elsewhere.

Cause: a wait for an instance was bounded by a share of the request's deadline only. Admission did not know of the stop.

Change: the stop says until when a request may be sent so that its response is complete before the last answers are written, by the longest recent response time of the plain service. A wait ends then with a true refusal, and nothing is sent later. It works because the wait and the close of the connections now go by the same value, with time between them for the answer. Streams keep the rule by which they are taken.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -32,6 +32,7 @@
 type admission struct {
 	tracker   *chain.InstanceTracker
 	directory *fleet.Directory
+	stopping  *stopNotice
 
 	// mu guards waiting and arrivals.
 	mu      sync.Mutex
@@ -51,8 +52,8 @@
 	lastErr error
 }
 
-func newAdmission(t *chain.InstanceTracker, d *fleet.Directory) *admission {
-	return &admission{tracker: t, directory: d}
+func newAdmission(t *chain.InstanceTracker, d *fleet.Directory, stopping *stopNotice) *admission {
+	return &admission{tracker: t, directory: d, stopping: stopping}
 }
 
 // admitRequest describes the instances that a request needs and how long it
@@ -67,11 +68,23 @@
 	// waitIfUnservable makes the request wait even if no set of instances could
 	// serve it now.
 	waitIfUnservable bool
+	// lastSend returns the last time at which the request may be sent during a stop.
+	lastSend func(*stop) time.Time
+}
+
+// pastLastSend reports whether the request may not be sent any more because of a stop, which
+// is nil if none has begun.
+func (r admitRequest) pastLastSend(s *stop, now time.Time) bool {
+	return s != nil && r.lastSend != nil && !now.Before(r.lastSend(s))
 }
 
 // Acquire returns a grant of instances for the request, waiting for at most its
-// maxWait. Its errors are those of chain.InstanceTracker.Choose.
+// maxWait, and not beyond its lastSend in a stop. Its errors are errStopping and those of
+// chain.InstanceTracker.Choose.
 func (a *admission) Acquire(ctx context.Context, req admitRequest) (chain.Grant, error) {
+	if req.pastLastSend(a.stopping.get(), time.Now()) {
+		return chain.Grant{}, errStopping
+	}
 	w := a.enqueue(req)
 	a.dispatch()
 	select {
@@ -82,15 +95,30 @@
 	if !req.waitIfUnservable && a.unservable(w, time.Now()) {
 		return a.stopWaiting(w)
 	}
-	timer := time.NewTimer(req.maxWait)
+	return a.wait(ctx, w)
+}
+
+// wait waits for the grant of a queued request.
+func (a *admission) wait(ctx context.Context, w *waiter) (chain.Grant, error) {
+	end := time.Now().Add(w.maxWait)
+	timer := time.NewTimer(w.maxWait)
 	defer timer.Stop()
-	select {
-	case g := <-w.granted:
-		return g, nil
-	case <-timer.C:
-	case <-ctx.Done():
+	stopping := a.stopping.begun
+	for {
+		select {
+		case g := <-w.granted:
+			return g, nil
+		case <-stopping:
+			stopping = nil
+			if w.lastSend != nil {
+				timer.Reset(time.Until(earlier(end, w.lastSend(a.stopping.get()))))
+			}
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		return a.stopWaiting(w)
 	}
-	return a.stopWaiting(w)
 }
 
 func (a *admission) enqueue(req admitRequest) *waiter {
@@ -137,7 +165,10 @@
 		return g, nil
 	default:
 	}
-	if w.lastErr == nil {
+	switch {
+	case w.pastLastSend(a.stopping.get(), time.Now()):
+		return chain.Grant{}, errStopping
+	case w.lastErr == nil:
 		return chain.Grant{}, chain.ErrFull
 	}
 	return chain.Grant{}, w.lastErr
@@ -220,7 +251,7 @@
 		wait = c.maxPromptWait(untilDeadline)
 	}
 	return c.g.admission.Acquire(c.context(), admitRequest{
-		service: c.service, demand: c.demand(), urgency: c.urgency, maxWait: wait,
+		service: c.service, demand: c.demand(), urgency: c.urgency, maxWait: wait, lastSend: c.lastSend,
 	})
 }
 
@@ -258,6 +289,7 @@
 	wait := min(time.Until(s.lastSent.Add(continueTimeout)), time.Until(s.deadline))
 	return s.g.admission.Acquire(s.context(), admitRequest{
 		service: s.service, demand: s.demand(), urgency: continueUrgency, maxWait: wait, waitIfUnservable: true,
+		lastSend: (*stop).lastAnswers,
 	})
 }
 
@@ -300,6 +332,10 @@
 	case len(c.possiblyRanOn) > 0:
 		c.fail(http.StatusBadGateway, "no other instance: "+err.Error())
 	default:
+		if errors.Is(err, errStopping) {
+			c.refuseStopping(c.g.stopNotice.get())
+			return
+		}
 		delay := c.retryDelay()
 		if errors.Is(err, chain.ErrBackoff) {
 			delay = max(delay, c.backoffDelay(time.Now()))
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -85,6 +85,7 @@
 	}
 	x.Finish()
 	c.recordAnswered(c.respondedAt)
+	c.g.responseTimes.record(c.service.Name, time.Since(c.sentAt), time.Now())
 	if x.Response.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() {
 		c.recordPossibleRun(first.Instance)
 		c.addAvoided(first.Instance)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -110,7 +110,7 @@
 	if c.refuseQuarantined() {
 		return
 	}
-	if stop := g.stop.Load(); !c.acceptedBy(stop) {
+	if stop := g.stopNotice.get(); !c.acceptedBy(stop) {
 		c.refuseStopping(stop)
 		return
 	}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -15,9 +15,6 @@
 	// drainDelay is the minimum time that a gateway serves after it has become
 	// unready: the load balancer removes it after two failed readiness checks.
 	drainDelay = 2300 * time.Millisecond
-	// closingTime is the time before the drain deadline at which no more connections and
-	// requests are accepted, so that those accepted last are answered.
-	closingTime = 250 * time.Millisecond
 	// drainPollInterval is how often drain checks whether all requests have
 	// finished.
 	drainPollInterval = 20 * time.Millisecond
@@ -27,7 +24,7 @@
 )
 
 // draining reports whether a graceful shutdown has begun.
-func (g *Gateway) draining() bool { return g.stop.Load() != nil }
+func (g *Gateway) draining() bool { return g.stopNotice.get() != nil }
 
 // drain makes the gateway unready and keeps serving until the load balancer has
 // removed it and no request is in progress, or until closingTime before the drain
@@ -35,8 +32,8 @@
 // stop, clients still connect to this one.
 func (g *Gateway) drain(server *http.Server) error {
 	s := newStop(time.Now(), g.settings.DrainTimeout)
-	g.stop.Store(s)
-	closing := s.end.Add(-closingTime)
+	g.stopNotice.begin(s)
+	closing := s.closing()
 	sleepUntil(earlier(s.begun.Add(drainDelay), closing))
 	for g.inProgress.count() > 0 && time.Now().Before(closing) {
 		sleepUntil(time.Now().Add(drainPollInterval))
@@ -72,13 +69,6 @@
 
 func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // refuseStopping refuses a call because of a graceful shutdown. A client that still
 // reaches this gateway finds no other gateway ready, so it is told to retry
 // after the restart.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,9 +88,10 @@
 	// inProgress holds the requests that are being handled.
 	inProgress requestSet
 	// isPlacer is true while this gateway places layers.
-	isPlacer atomic.Bool
-	// stop is the graceful stop in progress, nil if none has begun.
-	stop atomic.Pointer[stop]
+	isPlacer   atomic.Bool
+	stopNotice *stopNotice
+	// responseTimes holds the response times of plain services.
+	responseTimes responseTimes
 
 	// mu guards configConfirmedAt, firstInstanceAt, membersChangedAt, era, eraKnown,
 	// instancesSynced, configSynced and quarantinesSynced.
@@ -118,6 +119,7 @@
 	directory, tracker := fleet.NewDirectory(), chain.NewInstanceTracker()
 	notices := &noticeRecorder{directory, tracker, log}
 	instances := &control{p.Engines, notices}
+	stopping := newStopNotice()
 	g := &Gateway{
 		settings:   s,
 		protocol:   p.Protocol,
@@ -129,12 +131,13 @@
 		directory:  directory,
 		tracker:    tracker,
 		pool:       backend.NewPool(),
-		admission:  newAdmission(tracker, directory),
+		admission:  newAdmission(tracker, directory, stopping),
 		faults:     newFaultFinder(instances, tracker, directory, log),
 		ends:       newEndDetector(),
 		quarantine: quarantine.NewRegister(),
 		clients:    newClientConns(),
 		streams:    newActiveStreams(),
+		stopNotice: stopping,
 		synced:     make(chan struct{}),
 		reregister: make(chan struct{}, 1),
 		startedAt:  time.Now(),
