gateway: Answer or refuse what the end of a stop interrupts

Callers saw: requests in progress at the end of a stop lose their connections with no answer, also when nothing was sent for them, and when they may not be repeated. A response without a length looks complete to a client of HTTP/1.0.

Cause: the stop closed all connections; the handlers, which know what became of their requests, were not told.

Change: the context of a request ends 100 ms before the end of the stop, unless its response has begun. What waits in it (body, configuration, exchange) refuses the request if it surely has not run, and answers 502 otherwise. Begun responses go on to the end, and their handlers cut them there. That works because the facts are in the handlers, and they get the time to write. The instance is not blamed. A grant that becomes free by an interruption is given back.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -85,6 +85,16 @@
 	if req.pastLastSend(a.stopping.get(), time.Now()) {
 		return chain.Grant{}, errStopping
 	}
+	grant, err := a.assign(ctx, req)
+	if err == nil && req.pastLastSend(a.stopping.get(), time.Now()) {
+		a.Release(grant) // it came when the stop interrupted another request
+		return chain.Grant{}, errStopping
+	}
+	return grant, err
+}
+
+// assign returns a grant of instances at once or after a wait.
+func (a *admission) assign(ctx context.Context, req admitRequest) (chain.Grant, error) {
 	w := a.enqueue(req)
 	a.dispatch()
 	select {
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -228,7 +228,7 @@
 	}
 	copyHeaders(c.w.Header(), resp.Header)
 	maps.Copy(c.w.Header(), own)
-	c.sentStatus = resp.StatusCode
+	c.setSentStatus(resp.StatusCode)
 	c.w.WriteHeader(resp.StatusCode)
 }
 
@@ -318,6 +318,10 @@
 		c.recordPossibleRun(first.Instance)
 		return true
 	}
+	if c.interrupted() {
+		c.endInterrupted(first, err)
+		return false
+	}
 	c.observeInterruption(first, err)
 	if c.refuseQuarantined() {
 		return false
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmegroute/nutmegroute/internal/chain"
@@ -19,9 +20,12 @@
 
 // call is one request of a client while the gateway handles it.
 type call struct {
-	g             *Gateway
-	w             http.ResponseWriter
-	r             *http.Request
+	g *Gateway
+	w http.ResponseWriter
+	r *http.Request
+	// ctx is the context of r until interrupt ends it.
+	ctx           context.Context
+	interrupt     context.CancelCauseFunc
 	inbound       Inbound
 	configVersion int64
 	route         *routing.Route
@@ -60,8 +64,10 @@
 	// unnumbered is true if the client has got an event without an id. Such a stream can't
 	// be continued: what the client has is not known to another instance.
 	unnumbered bool
-	// sentStatus is the status code sent to the client, 0 before that.
+	// sentStatus is the status code sent to the client, 0 before that. answered is true from
+	// then on; other goroutines may read it.
 	sentStatus int
+	answered   atomic.Bool
 	// successor is a second exchange beside a silent one, or nil.
 	successor *successor
 	// lastPath (the latest path) and waited (the total waiting time) are logged
@@ -84,6 +90,8 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, inbound: g.protocol.Inbound(r.Header), started: time.Now()}
+	c.ctx, c.interrupt = context.WithCancelCause(r.Context())
+	defer c.interrupt(nil)
 	for _, part := range c.inbound.SharedParts {
 		c.parts = append(c.parts, quarantine.Part(part))
 	}
@@ -150,10 +158,12 @@
 		c.waited += time.Since(c.started)
 		return true
 	case <-timer.C:
-	case <-c.r.Context().Done():
-		return false
+		c.refuse("no configuration", time.Second)
+	case <-c.ctx.Done():
+		if c.interrupted() {
+			c.refuseStopping(c.g.stopNotice.get())
+		}
 	}
-	c.refuse("no configuration", time.Second)
 	return false
 }
 
@@ -252,12 +262,11 @@
 		c.fail(http.StatusRequestEntityTooLarge, "body too large")
 		return false
 	}
-	control := http.NewResponseController(c.w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
+	body, err := c.readAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && c.interrupted():
+		c.refuseStopping(c.g.stopNotice.get())
 	case errors.As(err, &tooLarge):
 		c.fail(http.StatusRequestEntityTooLarge, "body too large")
 	case err != nil:
@@ -269,6 +278,19 @@
 	return false
 }
 
+// readAll reads the body of the request within bodyTimeout, until it is interrupted.
+func (c *call) readAll(body io.Reader) ([]byte, error) {
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	stopWatch := context.AfterFunc(c.ctx, func() { _ = control.SetReadDeadline(time.Now()) })
+	defer func() {
+		if stopWatch() {
+			_ = control.SetReadDeadline(time.Time{})
+		}
+	}()
+	return io.ReadAll(body)
+}
+
 // refuse answers that the request did not run, and when the client should
 // retry.
 func (c *call) refuse(reason string, after time.Duration) {
@@ -276,12 +298,18 @@
 	c.fail(http.StatusServiceUnavailable, reason)
 }
 
+// setSentStatus records that the response begins.
+func (c *call) setSentStatus(status int) {
+	c.sentStatus = status
+	c.answered.Store(true)
+}
+
 // fail answers with a response that the gateway itself produces.
 func (c *call) fail(status int, reason string) {
 	if c.sentStatus != 0 {
 		return
 	}
-	c.sentStatus = status
+	c.setSentStatus(status)
 	c.g.protocol.SetOwnHeaders(c.w.Header(), c.inbound.ID)
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
@@ -376,4 +404,4 @@
 }
 
 // context returns the context of the exchanges with instances.
-func (c *call) context() context.Context { return c.r.Context() }
+func (c *call) context() context.Context { return c.ctx }
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -19,6 +19,10 @@
 	// drainPollInterval is how often drain checks whether all requests have
 	// finished.
 	drainPollInterval = 20 * time.Millisecond
+	// cutTime is how long the handlers of responses that are cut at the end of a stop may
+	// take, cutPollInterval how often it is checked whether they have ended.
+	cutTime         = 50 * time.Millisecond
+	cutPollInterval = 2 * time.Millisecond
 	// restartTime is how long a gateway needs from its stop until it serves
 	// again.
 	restartTime = 700 * time.Millisecond
@@ -41,35 +45,50 @@
 	for g.inProgress.count() > 0 && time.Now().Before(closing) {
 		sleepUntil(time.Now().Add(drainPollInterval))
 	}
-	return g.closeClients(server, s.end)
+	return g.closeClients(server, s)
 }
 
 // closeClients accepts no more connections and closes the open ones: those on which no
-// request arrives at once, the others after the response. It returns
-// process.ErrDrainTimeout if requests are still in progress at end.
-func (g *Gateway) closeClients(server *http.Server, end time.Time) error {
+// request arrives at once, the others after the response. Requests that are not answered when
+// the last answers are due are interrupted then, those whose responses have begun at the end. It
+// returns process.ErrDrainTimeout if work on requests was interrupted.
+func (g *Gateway) closeClients(server *http.Server, s *stop) error {
 	g.clients.stopAccepting()
 	lastRequest := time.Now()
-	for now := lastRequest; !g.clients.closeUnused(now) && now.Before(end); now = time.Now() {
+	for now := lastRequest; !g.clients.closeUnused(now) && now.Before(s.end); now = time.Now() {
 		if g.inProgress.count() > 0 {
 			lastRequest = now
 		}
 		if now.Sub(lastRequest) > closingTime {
 			break // the rest has sent a part of a request, and no more
 		}
+		if !now.Before(s.lastAnswers()) {
+			g.inProgress.interruptUnanswered()
+		}
 		sleepUntil(now.Add(drainPollInterval))
 	}
-	interrupted := g.inProgress.count() > 0
-	g.inProgress.logUnfinished(g.log)
+	if g.inProgress.count() > 0 {
+		g.workInterrupted.Store(true)
+		g.inProgress.logUnfinished(g.log)
+		g.inProgress.interruptAll()
+		g.awaitInterrupted(s.end.Add(cutTime))
+	}
 	if err := server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return eris.Wrap(err, "gateway: close the server for clients")
 	}
-	if interrupted {
+	if g.workInterrupted.Load() {
 		return process.ErrDrainTimeout
 	}
 	return nil
 }
 
+// awaitInterrupted waits until no request is in progress, at most until end.
+func (g *Gateway) awaitInterrupted(end time.Time) {
+	for now := time.Now(); g.inProgress.count() > 0 && now.Before(end); now = time.Now() {
+		sleepUntil(now.Add(cutPollInterval))
+	}
+}
+
 func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
 // refuseStopping refuses a call because of a graceful shutdown. A client that still
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,9 @@
 	// isPlacer is true while this gateway places layers.
 	isPlacer   atomic.Bool
 	stopNotice *stopNotice
+	// workInterrupted is true once a request was interrupted by the end of a stop after it was
+	// sent to an instance.
+	workInterrupted atomic.Bool
 	// responseTimes holds the response times of plain services.
 	responseTimes responseTimes
 
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -45,3 +45,21 @@
 		log.Log(events.RequestUnfinished).Str("request", c.inbound.ID).Dur("elapsed_ms", time.Since(c.started)).Send()
 	}
 }
+
+// interruptUnanswered interrupts the requests whose responses have not begun.
+func (s *requestSet) interruptUnanswered() {
+	s.interrupt(func(c *call) bool { return !c.answered.Load() })
+}
+
+// interruptAll interrupts all requests.
+func (s *requestSet) interruptAll() { s.interrupt(func(*call) bool { return true }) }
+
+func (s *requestSet) interrupt(selects func(*call) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.calls {
+		if selects(c) {
+			c.interrupt(errInterrupted)
+		}
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -404,6 +404,10 @@
 		s.recordPossibleRun(first.Instance)
 		return true
 	}
+	if s.interrupted() {
+		s.endInterrupted(first, err)
+		return false
+	}
 	s.observeInterruption(first, err)
 	if s.endQuarantined() {
 		return false
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -21,10 +21,13 @@
 	"github.com/nutmegroute/nutmegroute/internal/routing"
 )
 
-// testProtocol is a Protocol with a single header, the ID of the attempt.
+// testProtocol is a Protocol with the ID of the attempt and the client's timeout.
 type testProtocol struct{}
 
-func (testProtocol) Inbound(h http.Header) Inbound { return Inbound{ID: h.Get("Id")} }
+func (testProtocol) Inbound(h http.Header) Inbound {
+	timeout, _ := time.ParseDuration(h.Get("Timeout")) // 0 if there is none
+	return Inbound{ID: h.Get("Id"), Timeout: timeout}
+}
 
 func (testProtocol) Outbound(client http.Header, _ Outbound) http.Header {
 	return http.Header{"Id": client["Id"]}
