gateway: Bound the memory of all request bodies together

A gateway that gets many large bodies at once runs out of memory, and the requests of all its clients end with it (report of other operators; remark of the review).

Cause: each body was bounded, their sum was not, and each was copied once more to be sent.

Memory is taken before a body is read; what finds none is refused at once and has not run. Large bodies are written after the head instead of being copied behind it. The bound holds whatever the garbage collector does, since it counts what is referenced.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -78,6 +78,8 @@
 	// an exchange skips, maxInterimResponses that of interim responses.
 	maxSkippedResponses = 2
 	maxInterimResponses = 8
+	// maxCopiedBody is the size up to which the body of a request is copied behind its head.
+	maxCopiedBody = 64 << 10
 	// maxHeadBytes bounds the head of a response, maxSkippedBytes the body of a
 	// response that is skipped. A server in trouble may send bytes without end.
 	maxHeadBytes    = 64 << 10
@@ -109,11 +111,14 @@
 	return x, nil
 }
 
-// send writes the whole request with one call of Write. If the request cannot
-// be written completely, the exchange fails.
+// send writes the whole request. If it cannot be written completely, the exchange fails. A
+// small body is written together with the head; a large one is not copied for that.
 func (x *Exchange) send(r *Request, deadline time.Time) error {
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1024)
+	together := len(r.Body) <= maxCopiedBody
+	if together {
+		b.Grow(len(r.Body) + 1024)
+	}
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&b); err != nil {
 		return err
@@ -122,11 +127,16 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
+	if together {
+		b.Write(r.Body)
+	}
 	if err := x.conn.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
-	_, err := x.conn.Write(b.Bytes())
+	if _, err := x.conn.Write(b.Bytes()); err != nil || together {
+		return err
+	}
+	_, err := x.conn.Write(r.Body)
 	return err
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -33,6 +33,8 @@
 	team          string
 	urgency       int
 	body          []byte
+	// bodyMemory is what the call has taken from the budget for bodies.
+	bodyMemory int64
 	// bodyRead is true once body is complete.
 	bodyRead bool
 	started  time.Time
@@ -82,6 +84,8 @@
 	maxSends = 4
 	// bodyTimeout bounds the reading of a request body.
 	bodyTimeout = 10 * time.Second
+	// bodyBudgetDelay is after what time a client should retry whose body found no memory.
+	bodyBudgetDelay = 250 * time.Millisecond
 	// defaultMaxBody is the limit of a request body while no configuration sets
 	// one.
 	defaultMaxBody = 4 << 20
@@ -92,6 +96,7 @@
 	c := &call{g: g, w: w, r: r, inbound: g.protocol.Inbound(r.Header), started: time.Now()}
 	c.ctx, c.interrupt = context.WithCancelCause(r.Context())
 	defer c.interrupt(nil)
+	defer func() { g.bodies.release(c.bodyMemory) }()
 	for _, part := range c.inbound.SharedParts {
 		c.parts = append(c.parts, quarantine.Part(part))
 	}
@@ -265,6 +270,8 @@
 	body, err := c.readAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodyBudget):
+		c.refuse(err.Error(), bodyBudgetDelay)
 	case err != nil && c.interrupted():
 		c.refuseStopping(c.g.stopNotice.get())
 	case errors.As(err, &tooLarge):
@@ -288,7 +295,9 @@
 			_ = control.SetReadDeadline(time.Time{})
 		}
 	}()
-	return io.ReadAll(body)
+	read, taken, err := c.g.bodies.readBody(body, c.r.ContentLength)
+	c.bodyMemory += taken
+	return read, err
 }
 
 // refuse answers that the request did not run, and when the client should
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	ends        *endDetector
 	quarantine  *quarantine.Register
 	clients     *clientConns
+	bodies      *bodyBudget
 	idleLimits  idleLimits
 	streams     *activeStreams
 	// reporter is nil until the gateway has joined its peers, and always nil if
@@ -139,6 +140,7 @@
 		ends:       newEndDetector(),
 		quarantine: quarantine.NewRegister(),
 		clients:    newClientConns(),
+		bodies:     newBodyBudget(s.MemoryLimitMB),
 		streams:    newActiveStreams(),
 		stopNotice: stopping,
 		synced:     make(chan struct{}),
