gateway: Start bodies of unknown length with little memory

Cause: a chunked body took 64 KiB of the budget at least, so that a thousand small ones in progress would have used it up. Found by reading the diff; not seen.

Change: it starts with 4 KiB and doubles. refuseStopping reads the stop itself, and the unit of the memory limit stands once.

Result: the tests of bodies and stops in internal/gateway pass.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -343,7 +343,7 @@
 		c.fail(http.StatusBadGateway, "no other instance: "+err.Error())
 	default:
 		if errors.Is(err, errStopping) {
-			c.refuseStopping(c.g.stopNotice.get())
+			c.refuseStopping()
 			return
 		}
 		delay := c.retryDelay()
--- a/internal/gateway/body_budget.go
+++ b/internal/gateway/body_budget.go
@@ -12,9 +12,10 @@
 	bodyMemoryFraction = 0.25
 	// defaultBodyBudget is the limit in bytes if no memory limit is set.
 	defaultBodyBudget = 64 << 20
-	// bodyChunkBytes is the size of the steps in which a body of unknown length is read.
-	bodyChunkBytes = 64 << 10
-	bytesPerMB     = 1 << 20
+	// firstBodyBytes is the memory for a body of unknown length, which doubles while it is read.
+	firstBodyBytes = 4 << 10
+	// BytesPerMB is the unit of Settings.MemoryLimitMB.
+	BytesPerMB = 1 << 20
 )
 
 // errBodyBudget means that the bodies of other requests take all memory for bodies.
@@ -32,7 +33,7 @@
 	if memoryLimitMB <= 0 {
 		return &bodyBudget{limit: defaultBodyBudget}
 	}
-	return &bodyBudget{limit: int64(bodyMemoryFraction * float64(memoryLimitMB) * bytesPerMB)}
+	return &bodyBudget{limit: int64(bodyMemoryFraction * float64(memoryLimitMB) * BytesPerMB)}
 }
 
 // take takes n bytes and reports whether they were left.
@@ -60,7 +61,7 @@
 	}
 	for {
 		if len(body) == cap(body) {
-			grown := max(2*int64(cap(body)), bodyChunkBytes)
+			grown := max(2*int64(cap(body)), firstBodyBytes)
 			if !b.take(grown) { // the smaller one is kept until its content is copied
 				return nil, taken, errBodyBudget
 			}
--- a/internal/gateway/body_budget_test.go
+++ b/internal/gateway/body_budget_test.go
@@ -21,13 +21,13 @@
 // Guards against bodies that are read into more memory than the budget has, and against memory
 // that is never given back.
 func TestBodyBudget(t *testing.T) {
-	b := &bodyBudget{limit: 4 * bodyChunkBytes}
-	content := bytes.Repeat([]byte("x"), bodyChunkBytes+1)
+	b := &bodyBudget{limit: 4 * firstBodyBytes}
+	content := bytes.Repeat([]byte("x"), firstBodyBytes+1)
 	for _, tt := range []struct {
 		name   string
 		length int64
 		taken  int64
-	}{{"known length", int64(len(content)), int64(len(content))}, {"unknown length", -1, 2 * bodyChunkBytes}} {
+	}{{"known length", int64(len(content)), int64(len(content))}, {"unknown length", -1, 2 * firstBodyBytes}} {
 		body, taken, err := b.readBody(iotest.HalfReader(bytes.NewReader(content)), tt.length)
 		assert.NilError(t, err, tt.name)
 		assert.Assert(t, bytes.Equal(body, content), tt.name)
@@ -35,7 +35,7 @@
 		assert.Equal(t, b.used.Load(), tt.taken, tt.name)
 		b.release(taken)
 	}
-	_, taken, err := b.readBody(bytes.NewReader(content), 4*bodyChunkBytes+1)
+	_, taken, err := b.readBody(bytes.NewReader(content), 4*firstBodyBytes+1)
 	assert.ErrorIs(t, err, errBodyBudget)
 	b.release(taken)
 	_, taken, err = b.readBody(endless{}, -1)
@@ -112,7 +112,7 @@
 	}
 	close(release)
 	group.Wait()
-	assert.Assert(t, highest.Load() <= limitMB/4*bytesPerMB, "%d bytes in bodies", highest.Load())
+	assert.Assert(t, highest.Load() <= limitMB/4*BytesPerMB, "%d bytes in bodies", highest.Load())
 	assert.Equal(t, served.Load(), int64(limitMB/4), "%d refused, %d cut", refusals.Load(), cut.Load())
 	assert.Equal(t, runs.Load(), served.Load())
 	assert.Equal(t, g.bodies.used.Load(), int64(0))
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -123,8 +123,8 @@
 	if c.refuseQuarantined() {
 		return
 	}
-	if stop := g.stopNotice.get(); !c.acceptedBy(stop) {
-		c.refuseStopping(stop)
+	if !c.acceptedBy(g.stopNotice.get()) {
+		c.refuseStopping()
 		return
 	}
 	g.budget.RecordRequest(c.service.Name, c.started)
@@ -166,7 +166,7 @@
 		c.refuse("no configuration", time.Second)
 	case <-c.ctx.Done():
 		if c.interrupted() {
-			c.refuseStopping(c.g.stopNotice.get())
+			c.refuseStopping()
 		}
 	}
 	return false
@@ -273,7 +273,7 @@
 	case errors.Is(err, errBodyBudget):
 		c.refuse(err.Error(), bodyBudgetDelay)
 	case err != nil && c.interrupted():
-		c.refuseStopping(c.g.stopNotice.get())
+		c.refuseStopping()
 	case errors.As(err, &tooLarge):
 		c.fail(http.StatusRequestEntityTooLarge, "body too large")
 	case err != nil:
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -91,11 +91,11 @@
 
 func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
-// refuseStopping refuses a call because of a graceful shutdown. A client that still
+// refuseStopping refuses a call because of the stop in progress. A client that still
 // reaches this gateway finds no other gateway ready, so it is told to retry
 // after the restart.
-func (c *call) refuseStopping(s *stop) {
-	c.refuse("this gateway stops", time.Until(s.end)+restartTime)
+func (c *call) refuseStopping() {
+	c.refuse("this gateway stops", time.Until(c.g.stopNotice.get().end)+restartTime)
 }
 
 // acceptedBy reports whether the call may be accepted during a stop, which is nil if none has
--- a/internal/gateway/interrupted.go
+++ b/internal/gateway/interrupted.go
@@ -23,7 +23,7 @@
 		c.recordPossibleRun(first.Instance)
 	}
 	if len(c.possiblyRanOn) == 0 && c.sentStatus == 0 {
-		c.refuseStopping(c.g.stopNotice.get())
+		c.refuseStopping()
 		return
 	}
 	c.g.workInterrupted.Store(true)
