gateway: Rename the holder of the stop in progress

Cause: stopNotice reads like the notices of instances, which are something else.

Change: currentStop; a comment is wrapped. No behaviour changes.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -32,7 +32,7 @@
 type admission struct {
 	tracker   *chain.InstanceTracker
 	directory *fleet.Directory
-	stopping  *stopNotice
+	stopping  *currentStop
 
 	// mu guards waiting and arrivals.
 	mu      sync.Mutex
@@ -52,7 +52,7 @@
 	lastErr error
 }
 
-func newAdmission(t *chain.InstanceTracker, d *fleet.Directory, stopping *stopNotice) *admission {
+func newAdmission(t *chain.InstanceTracker, d *fleet.Directory, stopping *currentStop) *admission {
 	return &admission{tracker: t, directory: d, stopping: stopping}
 }
 
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -21,7 +21,7 @@
 	d.Update([]fleet.Record{{ID: "p", Revision: 1, Instance: &fleet.Instance{
 		ID: "p", Service: "s", Slots: 1, Domain: "a",
 	}}}, time.Now())
-	return newAdmission(chain.NewInstanceTracker(), d, newStopNotice()), &routing.Service{Name: "s"}
+	return newAdmission(chain.NewInstanceTracker(), d, newCurrentStop()), &routing.Service{Name: "s"}
 }
 
 const longWait = 10 * time.Second
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -123,7 +123,7 @@
 	if c.refuseQuarantined() {
 		return
 	}
-	if !c.acceptedBy(g.stopNotice.get()) {
+	if !c.acceptedBy(g.currentStop.get()) {
 		c.refuseStopping()
 		return
 	}
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -130,7 +130,7 @@
 	assert.NilError(t, err)
 	_ = resp.Body.Close()
 	assert.Equal(t, resp.Header.Get("Keep-Alive"), "timeout=15")
-	g.stopNotice.begin(newStop(time.Now(), time.Minute))
+	g.currentStop.begin(newStop(time.Now(), time.Minute))
 	c.write(clientRequest)
 	resp, err = http.ReadResponse(c.reader, nil)
 	assert.NilError(t, err)
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -29,15 +29,15 @@
 )
 
 // draining reports whether a graceful shutdown has begun.
-func (g *Gateway) draining() bool { return g.stopNotice.get() != nil }
+func (g *Gateway) draining() bool { return g.currentStop.get() != nil }
 
-// drain is called when a stop was requested at begun. It makes the gateway unready and keeps serving until the load balancer has
-// removed it and no request is in progress, or until closingTime before the drain
-// deadline. The listener stays open until then: while all gateways of a failure domain
+// drain carries out a stop that was requested at begun. It makes the gateway unready and keeps
+// serving until the load balancer has removed it and no request is in progress, or until the stop
+// closes connections. The listener stays open until then: while all gateways of a failure domain
 // stop, clients still connect to this one.
 func (g *Gateway) drain(server *http.Server, begun time.Time) error {
 	s := newStop(begun, g.settings.DrainTimeout)
-	g.stopNotice.begin(s)
+	g.currentStop.begin(s)
 	g.log.Log(events.ProcessStopping).Int("requests", g.inProgress.count()).
 		Dur("since_request_ms", time.Since(begun)).Dur("time_left_ms", time.Until(s.end)).Send()
 	closing := s.closing()
@@ -95,7 +95,7 @@
 // reaches this gateway finds no other gateway ready, so it is told to retry
 // after the restart.
 func (c *call) refuseStopping() {
-	c.refuse("this gateway stops", time.Until(c.g.stopNotice.get().end)+restartTime)
+	c.refuse("this gateway stops", time.Until(c.g.currentStop.get().end)+restartTime)
 }
 
 // acceptedBy reports whether the call may be accepted during a stop, which is nil if none has
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -40,14 +40,14 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			g := &Gateway{settings: Settings{DrainTimeout: drainTimeout}, stopNotice: newStopNotice()}
-			g.stopNotice.begin(newStop(start, drainTimeout))
+			g := &Gateway{settings: Settings{DrainTimeout: drainTimeout}, currentStop: newCurrentStop()}
+			g.currentStop.begin(newStop(start, drainTimeout))
 			arrival := start.Add(tt.sinceStopBegan)
 			c := &call{
 				g: g, inbound: tt.inbound, service: tt.service, started: arrival, deadline: arrival.Add(time.Second),
 				route: &routing.Route{LatencyObjective: 500 * time.Millisecond},
 			}
-			assert.Equal(t, c.acceptedBy(g.stopNotice.get()), tt.want)
+			assert.Equal(t, c.acceptedBy(g.currentStop.get()), tt.want)
 		})
 	}
 	c := &call{g: &Gateway{}, service: model, started: start, route: &routing.Route{}}
@@ -60,15 +60,15 @@
 	const drainTimeout = 8 * time.Second
 	begun := time.Now()
 	for _, jump := range []int64{0, -3, 3} {
-		g := &Gateway{settings: Settings{DrainTimeout: drainTimeout}, stopNotice: newStopNotice()}
-		g.stopNotice.begin(newStop(begun, drainTimeout))
+		g := &Gateway{settings: Settings{DrainTimeout: drainTimeout}, currentStop: newCurrentStop()}
+		g.currentStop.begin(newStop(begun, drainTimeout))
 		for sinceStopBegan, want := range map[time.Duration]bool{time.Second: true, 4 * time.Second: false} {
 			arrival := clocktest.AfterJump(t, begun.Add(sinceStopBegan), jump)
 			c := &call{
 				g: g, inbound: Inbound{MaxOutputTokens: 2000}, service: &routing.Service{Name: "m", Model: &routing.Model{}},
 				started: arrival, route: &routing.Route{LatencyObjective: 500 * time.Millisecond},
 			}
-			assert.Equal(t, c.acceptedBy(g.stopNotice.get()), want, "jump of %d s, %v after the start of the stop", jump, sinceStopBegan)
+			assert.Equal(t, c.acceptedBy(g.currentStop.get()), want, "jump of %d s, %v after the start of the stop", jump, sinceStopBegan)
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,8 +89,8 @@
 	// inProgress holds the requests that are being handled.
 	inProgress requestSet
 	// isPlacer is true while this gateway places layers.
-	isPlacer   atomic.Bool
-	stopNotice *stopNotice
+	isPlacer    atomic.Bool
+	currentStop *currentStop
 	// workInterrupted is true once a request was interrupted by the end of a stop after it was
 	// sent to an instance.
 	workInterrupted atomic.Bool
@@ -123,29 +123,29 @@
 	directory, tracker := fleet.NewDirectory(), chain.NewInstanceTracker()
 	notices := &noticeRecorder{directory, tracker, log}
 	instances := &control{p.Engines, notices}
-	stopping := newStopNotice()
+	stopping := newCurrentStop()
 	g := &Gateway{
-		settings:   s,
-		protocol:   p.Protocol,
-		control:    instances,
-		notices:    notices,
-		platform:   p,
-		log:        log,
-		metrics:    newMetrics(scope, metrics.LatencyBuckets),
-		directory:  directory,
-		tracker:    tracker,
-		pool:       backend.NewPool(),
-		admission:  newAdmission(tracker, directory, stopping),
-		faults:     newFaultFinder(instances, tracker, directory, log),
-		ends:       newEndDetector(),
-		quarantine: quarantine.NewRegister(),
-		clients:    newClientConns(),
-		bodies:     newBodyBudget(s.MemoryLimitMB),
-		streams:    newActiveStreams(),
-		stopNotice: stopping,
-		synced:     make(chan struct{}),
-		reregister: make(chan struct{}, 1),
-		startedAt:  time.Now(),
+		settings:    s,
+		protocol:    p.Protocol,
+		control:     instances,
+		notices:     notices,
+		platform:    p,
+		log:         log,
+		metrics:     newMetrics(scope, metrics.LatencyBuckets),
+		directory:   directory,
+		tracker:     tracker,
+		pool:        backend.NewPool(),
+		admission:   newAdmission(tracker, directory, stopping),
+		faults:      newFaultFinder(instances, tracker, directory, log),
+		ends:        newEndDetector(),
+		quarantine:  quarantine.NewRegister(),
+		clients:     newClientConns(),
+		bodies:      newBodyBudget(s.MemoryLimitMB),
+		streams:     newActiveStreams(),
+		currentStop: stopping,
+		synced:      make(chan struct{}),
+		reregister:  make(chan struct{}, 1),
+		startedAt:   time.Now(),
 	}
 	limits := retry.Limits{Ratio: s.RetryRatio, Window: s.RetryWindow, Reserve: s.RetryReserve}
 	var retriesSince time.Time
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -43,7 +43,7 @@
 	r := newTestReporter(t, "g2")
 	g.reporter.Store(r)
 	assert.Assert(t, g.ContendsForLease())
-	g.stopNotice.begin(newStop(time.Now(), time.Minute))
+	g.currentStop.begin(newStop(time.Now(), time.Minute))
 	assert.Assert(t, g.ContendsForLease() && !g.YieldsLease(), "must keep contending: no other gateway is running")
 
 	peer := newTestReporter(t, "g1")
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -108,20 +108,21 @@
 	return b
 }
 
-// stopNotice tells what waits that a stop has begun. It is safe for concurrent use.
-type stopNotice struct {
+// currentStop holds the stop in progress and tells what waits that it has begun. It is safe for
+// concurrent use.
+type currentStop struct {
 	stop atomic.Pointer[stop]
 	// begun is closed after stop was set.
 	begun chan struct{}
 }
 
-func newStopNotice() *stopNotice { return &stopNotice{begun: make(chan struct{})} }
+func newCurrentStop() *currentStop { return &currentStop{begun: make(chan struct{})} }
 
 // begin sets the stop. It is called once.
-func (n *stopNotice) begin(s *stop) {
-	n.stop.Store(s)
-	close(n.begun)
+func (c *currentStop) begin(s *stop) {
+	c.stop.Store(s)
+	close(c.begun)
 }
 
 // get returns the stop in progress, or nil if none has begun.
-func (n *stopNotice) get() *stop { return n.stop.Load() }
+func (c *currentStop) get() *stop { return c.stop.Load() }
