--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -58,18 +58,21 @@
 
 // Guards against requests that wait for an instance until their connections are closed by a stop.
 func TestWaitingRequestsAreRefusedInAStop(t *testing.T) {
-	const remaining = 100 * time.Millisecond
+	const (
+		remaining    = 100 * time.Millisecond // until the last send
+		responseTime = 3 * time.Second
+	)
 	a, service := newSingleSlotAdmission()
 	held, err := a.Acquire(context.Background(), admitRequest{service: service, maxWait: longWait})
 	assert.NilError(t, err)
-	request := admitRequest{service: service, maxWait: longWait, lastSend: (*stop).lastAnswers}
+	request := admitRequest{service: service, maxWait: longWait, lastSend: func(s *stop) time.Time { return s.lastSend(responseTime) }}
 	waited := make(chan error, 1)
 	go func() {
 		_, err := a.Acquire(context.Background(), request)
 		waited <- err
 	}()
 	a.waitForQueueLength(t, 1)
-	stopping := newStop(time.Now().Add(remaining-time.Second+answerTime+exitTime), time.Second)
+	stopping := newStop(time.Now(), remaining+responseTime+answerTime+exitTime)
 	a.stopping.begin(stopping)
 	assert.ErrorIs(t, <-waited, errStopping)
 	assert.Assert(t, time.Now().Before(stopping.end), "refused too late")
