--- /dev/null
+++ b/review/tool-2/crowd.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	crowdMemoryMB = 184 // the smallest edge machine of the sheets
+	crowdMaxFDs   = 4100
+	crowdEvents   = 57
+	crowdGap      = 200 * time.Millisecond
+	// aheadBytes is how much a client sends ahead on its connection.
+	aheadBytes = 256 << 10
+)
+
+// crowd: clients send many requests ahead on one connection without reading the answers. What
+// the gateway has received and not read counts for the memory of its process.
+func crowd(p *platform, trouble bool) (broken bool, err error) {
+	clients := 1500
+	if n, err := strconv.Atoi(os.Getenv("CROWD")); err == nil {
+		clients = n
+	}
+	p.store.put("config", "main", configuration(1, plainService(llm), streamRoute, lookupRoute))
+	for i := range 10 {
+		if _, err := p.startServer(fmt.Sprintf("i-llm-%d", i), llm, "muscat-a", 192, serveEvents(crowdEvents, crowdGap)); err != nil {
+			return false, err
+		}
+	}
+	for i := range 2 {
+		if _, err := p.startServer(fmt.Sprintf("i-acc-%d", i), accounts, "muscat-a", 16, serveLookup); err != nil {
+			return false, err
+		}
+	}
+	g, err := p.startGateway("edge-muscat-a-1", "muscat-a", limits{crowdMemoryMB, crowdMaxFDs})
+	if err != nil {
+		return false, err
+	}
+	if !waitFor(10*time.Second, func() bool { return get(g.front, "GET", "/licence/x", time.Second).status == 200 }) {
+		return false, fmt.Errorf("the gateway does not serve: %s", p.gatewayLog(g))
+	}
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Go(func() { watchMemory(p, g, stop, &broken) })
+	for range clients {
+		c, err := net.Dial("tcp", g.front)
+		if err != nil {
+			p.logf("connect: %v", err)
+			break
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.(*net.TCPConn).SetReadBuffer(16 << 10)
+		_ = c.(*net.TCPConn).SetWriteBuffer(16 << 10)
+		wait.Go(func() { behave(c, trouble, stop) })
+		time.Sleep(time.Millisecond)
+	}
+	p.logf("%d clients have connected", clients)
+	served, lost := 0, 0
+	for range 80 {
+		if r := get(g.front, "GET", "/licence/x", time.Second); r.status != 0 {
+			served++
+		} else {
+			lost++
+			p.logf("an ordinary request got no answer: %v", r.err)
+		}
+		if !g.running() {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	close(stop)
+	p.logf("ordinary requests answered: %d, without an answer: %d", served, lost)
+	g.kill()
+	wait.Wait()
+	return broken, nil
+}
+
+// behave sends one stream's request and, with trouble, further ones behind it. It reads answers
+// only without trouble.
+func behave(c net.Conn, trouble bool, stop chan struct{}) {
+	_ = c.SetDeadline(time.Now().Add(time.Minute))
+	if !trouble {
+		_, _ = c.Write([]byte(requestText("POST", "/guide/a", newAttempt(), 20*time.Second)))
+		go func() { <-stop; _ = c.Close() }()
+		buffer := make([]byte, 4096)
+		for {
+			if _, err := c.Read(buffer); err != nil {
+				return
+			}
+		}
+	}
+	go func() { <-stop; _ = c.Close() }()
+	for sent := 0; sent < aheadBytes; {
+		n, err := c.Write([]byte(requestText("POST", "/guide/a", newAttempt(), 20*time.Second)))
+		if err != nil {
+			return
+		}
+		sent += n
+	}
+	<-stop
+}
+
+// watchMemory does what the platform does: it kills a process that exceeds its memory. Bytes
+// that have been received and not yet read count.
+func watchMemory(p *platform, g *gateway, stop chan struct{}, broken *bool) {
+	for {
+		rss, unread, count := residentBytes(g.command.Process.Pid), 0, 0
+		if unread, count = unreadBytes(g.front); rss > 0 {
+			p.logf("resident %.1f MB, received and not read %.1f MB on %d connections", mb(rss), mb(unread), count)
+		}
+		if rss+unread > crowdMemoryMB<<20 {
+			p.logf("the process exceeds memory_mb = %d: the platform kills it", crowdMemoryMB)
+			*broken = true
+			_ = g.command.Process.Signal(syscall.SIGKILL)
+			return
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(250 * time.Millisecond):
+		}
+	}
+}
+
+func mb(n int) float64 { return float64(n) / (1 << 20) }
+
+// residentBytes returns the resident memory of a process.
+func residentBytes(pid int) int {
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(value)[0])
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// unreadBytes returns the sum of the receive queues of the connections accepted at an address.
+func unreadBytes(address string) (sum, count int) {
+	a, err := net.ResolveTCPAddr("tcp4", address)
+	if err != nil {
+		return 0, 0
+	}
+	ip := a.IP.To4()
+	local := strings.ToUpper(hex.EncodeToString([]byte{ip[3], ip[2], ip[1], ip[0]})) + fmt.Sprintf(":%04X", a.Port)
+	data, _ := os.ReadFile("/proc/net/tcp")
+	for line := range strings.Lines(string(data)) {
+		f := strings.Fields(line)
+		if len(f) < 5 || f[1] != local || f[3] != "01" && f[3] != "08" {
+			continue
+		}
+		_, queue, _ := strings.Cut(f[4], ":")
+		n, _ := strconv.ParseInt(queue, 16, 64)
+		sum += int(n)
+		count++
+	}
+	return sum, count
+}
+
+// serveEvents returns a handler that sends a stream of events, the first one at once.
+func serveEvents(events int, gap time.Duration) func(*server, http.ResponseWriter, *http.Request) {
+	return func(s *server, w http.ResponseWriter, r *http.Request) {
+		first := 1
+		if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+			first = last + 1
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		control := http.NewResponseController(w)
+		for n := first; n <= events; n++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, r.Header.Get("X-Attempt-Id")); err != nil {
+				return
+			}
+			_ = control.Flush()
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(gap):
+			}
+		}
+	}
+}
+
+// serveLookup answers a small request.
+func serveLookup(s *server, w http.ResponseWriter, r *http.Request) {
+	time.Sleep(15 * time.Millisecond)
+	_, _ = fmt.Fprintf(w, "answer to %s", r.Header.Get("X-Attempt-Id"))
+}
