--- a/review/tool-2/platform.go
+++ b/review/tool-2/platform.go
@@ -65,6 +65,13 @@
 	return p.arrived[id]
 }
 
+// arrivals returns the number of requests that servers have got.
+func (p *platform) arrivals() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.arrived)
+}
+
 // close ends all processes that were started.
 func (p *platform) close() {
 	for _, g := range p.gateways {
@@ -79,6 +86,7 @@
 // gateway is one process of the deploy file's role.
 type gateway struct {
 	name, front, ready string
+	settings           string
 	command            *exec.Cmd
 	ended              chan struct{}
 }
@@ -158,35 +166,52 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gateway{
-		name: name, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1]),
-		ended: make(chan struct{}),
-	}
-	settings := fmt.Sprintf(settingsFormat, name, ip, zone, ports[2], ports[2]+15, g.front, g.ready,
+	g := &gateway{name: name, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1])}
+	g.settings = fmt.Sprintf(settingsFormat, name, ip, zone, ports[2], ports[2]+15, g.front, g.ready,
 		l.memoryMB, l.maxFDs, p.store.address)
-	path := filepath.Join(p.dir, name+".toml")
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
-		return nil, err
+	p.gateways = append(p.gateways, g)
+	return g, p.run(g)
+}
+
+// restart starts a gateway again that has ended.
+func (p *platform) restart(g *gateway) error {
+	<-g.ended
+	time.Sleep(restartDelay)
+	g.settings = strings.Replace(g.settings, "bootstrap = true", "bootstrap = false", 1)
+	return p.run(g)
+}
+
+// restartDelay is the time between the end of a process and its start by the platform.
+const restartDelay = 300 * time.Millisecond
+
+// run starts the process of a gateway.
+func (p *platform) run(g *gateway) error {
+	path := filepath.Join(p.dir, g.name+".toml")
+	if err := os.WriteFile(path, []byte(g.settings), 0o600); err != nil {
+		return err
 	}
 	words, err := deployCommand(p.root)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	log, err := os.Create(filepath.Join(p.dir, name+".log"))
+	log, err := os.OpenFile(filepath.Join(p.dir, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	g.command = exec.Command(filepath.Join(p.root, words[0]), words[1:]...)
-	g.command.Dir = p.root
-	g.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "NUTMEGROUTE_BOOT=" + path}
-	g.command.Stdout, g.command.Stderr = log, log
-	if err := g.command.Start(); err != nil {
-		return nil, err
+	defer func() { _ = log.Close() }()
+	command, ended := exec.Command(filepath.Join(p.root, words[0]), words[1:]...), make(chan struct{})
+	command.Dir = p.root
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "NUTMEGROUTE_BOOT=" + path}
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		close(ended)
+		g.ended = ended
+		return err
 	}
-	go func() { _ = g.command.Wait(); close(g.ended) }()
-	p.gateways = append(p.gateways, g)
-	p.logf("gateway %s started, clients connect to %s", name, g.front)
-	return g, nil
+	g.command, g.ended = command, ended
+	go func() { _ = command.Wait(); close(ended) }()
+	p.logf("gateway %s starts as process %d, clients connect to %s", g.name, command.Process.Pid, g.front)
+	return nil
 }
 
 // deployCommand returns the words of the command of the only role in deploy/system.toml.
