--- a/review/tool-2/config.go
+++ b/review/tool-2/config.go
@@ -53,4 +53,8 @@
 		Name: "licence-check", Host: host, PathPrefix: "/licence/", Service: accounts, Kind: "idempotent", TimeoutMS: 1200,
 		SLOMS: 150, Priority: 2, MaxAttempts: 2,
 	}
+	purchaseRoute = route{
+		Name: "pack-purchase", Host: host, PathPrefix: "/purchase/", Service: accounts, Kind: "non_idempotent", TimeoutMS: 1200,
+		SLOMS: 150, Priority: 2, MaxAttempts: 1,
+	}
 )
--- a/review/tool-2/main.go
+++ b/review/tool-2/main.go
@@ -18,6 +18,7 @@
 
 var cases = map[string]func(p *platform, trouble bool) (broken bool, err error){
 	"crowd":  crowd,
+	"gone":   gone,
 	"denied": denied,
 	"stop":   stop,
 }
