--- a/review/tool-2/main.go
+++ b/review/tool-2/main.go
@@ -20,6 +20,7 @@
 	"crowd":  crowd,
 	"gone":   gone,
 	"denied": denied,
+	"silent": silent,
 	"stop":   stop,
 }
 
--- a/review/tool-2/platform.go
+++ b/review/tool-2/platform.go
@@ -14,10 +14,12 @@
 
 // platform is what one case runs: a store, servers, gateways and a record of what happened.
 type platform struct {
-	store   *store
-	root    string
-	dir     string
-	started time.Time
+	store *store
+	// storeAddress is where gateways reach the store.
+	storeAddress string
+	root         string
+	dir          string
+	started      time.Time
 
 	mu       sync.Mutex
 	record   *os.File
@@ -41,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &platform{store: s, root: root, dir: dir, started: time.Now(), record: f, arrived: make(map[string]bool)}, nil
+	return &platform{store: s, root: root, dir: dir, started: time.Now(), storeAddress: s.address, record: f, arrived: make(map[string]bool)}, nil
 }
 
 // logf writes a line with the time since the start to the record.
@@ -168,7 +170,7 @@
 	}
 	g := &gateway{name: name, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1])}
 	g.settings = fmt.Sprintf(settingsFormat, name, ip, zone, ports[2], ports[2]+15, g.front, g.ready,
-		l.memoryMB, l.maxFDs, p.store.address)
+		l.memoryMB, l.maxFDs, p.storeAddress)
 	p.gateways = append(p.gateways, g)
 	return g, p.run(g)
 }
