--- a/review/tool-2/crowd.go
+++ b/review/tool-2/crowd.go
@@ -54,7 +54,9 @@
 				return false, fmt.Errorf("gateway %s does not serve: %s", g.name, p.gatewayLog(g))
 			}
 			p.logf("round %d: a crowd comes to %s", round+1, g.name)
-			sendCrowd(p, g, trouble)
+			if err := sendCrowd(p, g, trouble); err != nil {
+				return false, err
+			}
 			if g.running() {
 				continue
 			}
@@ -76,7 +78,7 @@
 
 // sendCrowd sends a crowd to a gateway, and ordinary requests beside it, until the process ends
 // or crowdTime has passed since the last client connected.
-func sendCrowd(p *platform, g *gateway, trouble bool) {
+func sendCrowd(p *platform, g *gateway, trouble bool) error {
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
 	wait.Go(func() { watchMemory(p, g, stop) })
@@ -98,9 +100,11 @@
 	})
 	var requests atomic.Int64
 	connected := 0
+	var failed error
 	for ; connected < crowdClients && g.running(); connected++ {
 		c, err := net.Dial("tcp", g.front)
 		if err != nil {
+			failed = err
 			break
 		}
 		defer func() { _ = c.Close() }()
@@ -111,12 +115,14 @@
 	}
 	select {
 	case <-g.ended:
+		failed = nil
 	case <-time.After(crowdTime):
 	}
 	close(stop)
 	wait.Wait()
 	p.logf("%d clients of the crowd connected and sent %d requests; ordinary requests answered: %d, without an answer: %d; "+
 		"servers have got %d requests in all", connected, requests.Load(), answered.Load(), unanswered.Load(), p.arrivals())
+	return failed
 }
 
 // behave sends one stream's request and, with trouble, further ones behind it. It reads answers
