--- a/review/tool-2/crowd.go
+++ b/review/tool-2/crowd.go
@@ -15,13 +15,15 @@
 )
 
 const (
-	crowdMemoryMB = 184 // the smallest edge machine of the sheets
-	crowdMaxFDs   = 4100
+	// The edge machine of the site.
+	crowdMemoryMB = 284
+	crowdMaxFDs   = 4200
 	crowdEvents   = 57
 	crowdGap      = 200 * time.Millisecond
-	// crowdClients and as many connections to servers are within the descriptors of the machine,
-	// of which 200 are for files.
-	crowdClients = 1800
+	// crowdClients and one connection to a server for each of its slots are within the descriptors
+	// of the machine, of which 200 are for files.
+	crowdClients = 2300
+	crowdServers = 7
 	// aheadBytes is how much a client sends ahead on its connection.
 	aheadBytes = 256 << 10
 )
@@ -31,7 +33,7 @@
 // if the processes of two machines end three times.
 func crowd(p *platform, trouble bool) (broken bool, err error) {
 	p.store.put("config", "main", configuration(1, plainService(llm), streamRoute, lookupRoute))
-	for i := range 10 {
+	for i := range crowdServers {
 		if _, err := p.startServer(fmt.Sprintf("i-llm-%d", i), llm, "muscat-a", 192, serveEvents(crowdEvents, crowdGap)); err != nil {
 			return false, err
 		}
