gateway: Log each request that is accepted late in a stop

Cause: a stopping gateway that takes a request after the first seconds of a stop left no line of its own.

Change: NR1845 with the time since the signal, until the connections are closed, until the deadline, and until the response is expected to be complete. No decision changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -138,7 +138,7 @@
 	if c.refuseQuarantined() {
 		return
 	}
-	if !c.acceptedBy(g.currentStop.get()) {
+	if !c.accept(g.currentStop.get()) {
 		c.refuseStopping()
 		return
 	}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -98,6 +98,18 @@
 	c.refuse("this gateway stops", time.Until(c.g.currentStop.get().end)+restartTime)
 }
 
+// accept reports whether the call may be accepted during a stop, which is nil if none has begun. It
+// logs each call that is accepted later than at the start of the stop.
+func (c *call) accept(s *stop) bool {
+	accepted := c.acceptedBy(s)
+	if accepted && s != nil && !c.started.Before(s.acceptAllEnd()) {
+		now := time.Now()
+		c.logEvent(events.AcceptedInStop).Dur("since_stop_ms", now.Sub(s.begun)).Dur("left_ms", s.end.Sub(now)).
+			Dur("deadline_ms", c.deadline.Sub(now)).Dur("expected_ms", c.latestEnd().Sub(now)).Send()
+	}
+	return accepted
+}
+
 // acceptedBy reports whether the call may be accepted during a stop, which is nil if none has
 // begun.
 func (c *call) acceptedBy(s *stop) bool { return s == nil || s.takes(c.started, c.latestEnd()) }
