gateway: Send clients of a stop to the gateway that they reach

Cause: since streams are accepted late in a stop only if their deadline bounds them, more of them are refused. A refusal told the client to come back after the restart of this gateway, 5 s later, although the load balancer sends it to another one at once. And open connections stayed open until the end of the stop, so that their next requests came here to be refused.

Change: a stopping gateway knows from the reports of its peers whether its clients reach another gateway: at least half of its failure domain serves, or none of it and another failure domain does (the load balancer uses all gateways of a failure domain of which fewer than half are ready). One that has just started counts after 1.5 s: it reads the store and is checked once a second. If clients reach one, Retry-After is what is left of the time until the balancer has removed this gateway, and up to 0.1 s; and from 2.75 s into the stop the connections that clients keep are closed between two requests, never one on which a part of a request has arrived or no response was sent. If they reach none, all stays as it was. The question whether another gateway serves stood three times in peers.go and stands once.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -150,6 +150,15 @@
 	return len(open) == 0
 }
 
+// closeKept closes the connections on which a response was sent and nothing was read since.
+func (l *clientConns) closeKept(now time.Time) {
+	for _, c := range l.list() {
+		if c.wasUsed() {
+			c.closeIdle(unusedTime, now)
+		}
+	}
+}
+
 // clientListener accepts the connections of clients as clientConn.
 type clientListener struct{ net.Listener }
 
@@ -185,6 +194,7 @@
 	case http.StateIdle:
 		conn.Conn.SetIdle()
 		conn.setIdle(time.Now())
+		conn.setUsed()
 	case http.StateClosed, http.StateHijacked:
 		delete(l.open, conn)
 		delete(l.guarded, conn.Conn)
@@ -226,6 +236,8 @@
 	idleSince time.Time
 	// closing is true once an idle connection is to be closed.
 	closing bool
+	// used is true once a response was sent on the connection.
+	used bool
 }
 
 // clientConnKey is the key of the clientConn in the context of a request.
@@ -254,6 +266,18 @@
 	c.idle, c.idleSince = true, now
 }
 
+func (c *clientConn) setUsed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used = true
+}
+
+func (c *clientConn) wasUsed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used
+}
+
 // closeIdle makes the read in progress return io.EOF if the connection has been idle for
 // longer than limit, so that the server closes it. It returns how long it has been idle, and
 // whether it will be closed.
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -16,6 +16,9 @@
 	// drainDelay is the minimum time that a gateway serves after it has become
 	// unready: the load balancer removes it after two failed readiness checks.
 	drainDelay = 2300 * time.Millisecond
+	// maxStopSpread is the longest time by which clients that a stopping gateway refuses come to
+	// another one later than they could, so that those that waited don't all come at once.
+	maxStopSpread = 100 * time.Millisecond
 	// drainPollInterval is how often drain checks whether all requests have
 	// finished.
 	drainPollInterval = 20 * time.Millisecond
@@ -34,16 +37,23 @@
 // drain carries out a stop that was requested at begun. It makes the gateway unready and keeps
 // serving until the load balancer has removed it and no request is in progress, or until the stop
 // closes connections. The listener stays open until then: while all gateways of a failure domain
-// stop, clients still connect to this one.
+// stop, clients still connect to this one. Once not all requests are accepted any more, the connections
+// that clients keep are closed between two requests if they reach another gateway: the next
+// request then goes there at once instead of being refused here.
 func (g *Gateway) drain(server *http.Server, begun time.Time) error {
 	s := newStop(begun, g.settings.DrainTimeout)
+	g.observeOtherGateways(time.Now())
 	g.currentStop.begin(s)
 	g.log.Log(events.ProcessStopping).Int("requests", g.inProgress.count()).
 		Dur("since_request_ms", time.Since(begun)).Dur("time_left_ms", time.Until(s.end)).Send()
 	closing := s.closing()
-	sleepUntil(earlier(s.begun.Add(drainDelay), closing))
-	for g.inProgress.count() > 0 && time.Now().Before(closing) {
-		sleepUntil(time.Now().Add(drainPollInterval))
+	removed := earlier(s.begun.Add(drainDelay), closing)
+	for now := time.Now(); now.Before(removed) || g.inProgress.count() > 0 && now.Before(closing); now = time.Now() {
+		g.observeOtherGateways(now)
+		if !now.Before(s.acceptAllEnd()) && g.otherGateways.reachable(now) {
+			g.clients.closeKept(now)
+		}
+		sleepUntil(now.Add(drainPollInterval))
 	}
 	return g.closeClients(server, s)
 }
@@ -56,6 +66,7 @@
 	g.clients.stopAccepting()
 	lastRequest := time.Now()
 	for now := lastRequest; !g.clients.closeUnused(now) && now.Before(s.end); now = time.Now() {
+		g.observeOtherGateways(now)
 		if g.inProgress.count() > 0 {
 			lastRequest = now
 		}
@@ -91,11 +102,9 @@
 
 func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
-// refuseStopping refuses a call because of the stop in progress. A client that still
-// reaches this gateway finds no other gateway ready, so it is told to retry
-// after the restart.
+// refuseStopping refuses a call because of the stop in progress.
 func (c *call) refuseStopping() {
-	c.refuse("this gateway stops", time.Until(c.g.currentStop.get().end)+restartTime)
+	c.refuse("this gateway stops", c.g.currentStop.get().retryDelay(&c.g.otherGateways, time.Now()))
 }
 
 // accept reports whether the call may be accepted during a stop, which is nil if none has begun. It
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,8 @@
 	// isPlacer is true while this gateway places layers.
 	isPlacer    atomic.Bool
 	currentStop *currentStop
+	// otherGateways is observed during a stop.
+	otherGateways otherGateways
 	// workInterrupted is true once a request was interrupted by the end of a stop after it was
 	// sent to an instance.
 	workInterrupted atomic.Bool
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,6 +64,12 @@
 // the placement. More would only add calls to the store.
 const leaseContenders = gossip.MaxFirstNames
 
+// otherGatewayServes reports whether another gateway is alive and not stopping.
+func (g *Gateway) otherGatewayServes(now time.Time) bool {
+	r := g.reporter.Load()
+	return r != nil && r.ActivePeerCount(now) > 0
+}
+
 // ContendsForLease reports whether this gateway tries to acquire the lease: only the
 // first leaseContenders live gateways by name do, while no peer is known to hold it. A
 // gateway that is stopping contends only if all others are stopping or gone.
@@ -75,7 +81,7 @@
 	case r.LeaseHeld(now):
 		return false
 	case g.draining():
-		return r.ActivePeerCount(now) == 0
+		return !g.otherGatewayServes(now)
 	}
 	return r.RankByName(now) < leaseContenders
 }
@@ -85,15 +91,12 @@
 // ranks first.
 func (g *Gateway) ranksFirst(now time.Time) bool {
 	r := g.reporter.Load()
-	return r == nil || r.RankByName(now) == 0 && (!g.draining() || r.ActivePeerCount(now) == 0)
+	return r == nil || r.RankByName(now) == 0 && (!g.draining() || !g.otherGatewayServes(now))
 }
 
 // YieldsLease reports whether this gateway gives up the lease because it is
 // stopping and another gateway can acquire it.
-func (g *Gateway) YieldsLease() bool {
-	r := g.reporter.Load()
-	return g.draining() && r != nil && r.ActivePeerCount(time.Now()) > 0
-}
+func (g *Gateway) YieldsLease() bool { return g.draining() && g.otherGatewayServes(time.Now()) }
 
 // keepRegistered adds this gateway to the platform's list of gateways, and again whenever
 // the store has lost it, until ctx ends.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 )
@@ -70,6 +71,16 @@
 	return arrived.Before(s.acceptAllEnd()) || s.bounds(deadline)
 }
 
+// retryDelay returns after what time a client that is refused should retry: once the load balancer
+// sends it to another gateway, or after the restart of this one if no other gateway serves.
+func (s *stop) retryDelay(others *otherGateways, now time.Time) time.Duration {
+	from, serve := others.reachableFrom()
+	if !serve {
+		return s.end.Sub(now) + restartTime
+	}
+	return max(later(s.begun.Add(drainDelay), from).Sub(now), 0) + rand.N(maxStopSpread)
+}
+
 // lastSend returns the last time at which the call may be sent to an instance during a stop. Where
 // the deadline sets no bound and the call can still be refused as not run, the expected duration only
 // makes the time earlier. A call that may have run can't be refused any more: another attempt
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -215,6 +215,14 @@
 	return x.members.activePeers(now)
 }
 
+// MemberCounts returns the numbers of peers of the own failure domain, or of the own cell of a
+// large one: of those that are alive and not stopping, and of all that were alive lately.
+func (x *Reporter) MemberCounts(now time.Time) (active, total int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.members.memberCounts(now)
+}
+
 // RegisteredCount returns the number of registered gateways, including this
 // gateway.
 func (x *Reporter) RegisteredCount() int {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -100,6 +100,10 @@
 	assert.Equal(t, x.RankByName(now), 1)
 	assert.Equal(t, x.ActivePeerCount(now), 2)
 	assert.Equal(t, x.ActivePeerCount(now.Add(aliveTimeout)), 0)
+	for at, want := range map[time.Duration][2]int{0: {2, 3}, aliveTimeout: {0, 3}, aliveCountTimeout: {0, 0}} {
+		active, total := x.MemberCounts(now.Add(at))
+		assert.Equal(t, [2]int{active, total}, want, "after %v", at)
+	}
 }
 
 // Guards against datagrams of a report of many loads that exceed the receive
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -423,6 +423,20 @@
 	return count
 }
 
+// memberCounts returns the numbers of other gateways of the own failure domain, or cell: of those that
+// are alive and not stopping, and of all that were alive lately.
+func (s *membership) memberCounts(now time.Time) (active, total int) {
+	for _, m := range s.members {
+		if now.Sub(m.receivedAt) < aliveCountTimeout {
+			total++
+		}
+		if m.alive(now) && !m.Stopping {
+			active++
+		}
+	}
+	return active, total
+}
+
 // rankByName returns the position of this gateway in the order of names among the
 // other gateways that are alive and not stopping; 0 is the first position. It is
 // exact below MaxFirstNames, since summaries hold no more names.
