backend, httpclient: Take no status outside the protocol for an answer

Callers saw: a server in trouble that answers with a status line 600 to 999 had it passed on, with the server's seal; with 000 to 099, +20 or an unasked 101 the status counted as an interim response: the client waited until its own deadline, or got whatever stood behind it on the connection. An order to a server that answered it with 000 counted as accepted.

Cause: each reader of a response had its own idea of a status: below 200 is interim, below 300 is no failure, the rest is an answer. net/http checks only that the status has three characters and is not negative.

Change: httpclient.ClassifyStatus says which statuses are final (200 to 599), interim (100 to 199 but 101) or none (RFC 9110, section 15). The exchange with an instance fails at once for none, with ErrExchangeFailed: the request may have run, so that it is repeated where the route allows it and answered 502 otherwise, and the connection is closed. All exchanges go through it: plain requests, streams, successors, hedges and continuations. httpclient.CheckedTransport does the same for clients of net/http: the store and the engines (platform), the object API, operators' clients, engines and plain services of the product's own entry. There an error after a send is an unknown outcome, as after a lost response. Peers and relays switch protocols and check for 101 themselves; nutmegctl's status calls accept only the statuses that they name.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/nutmegroute/nutmegroute/internal/httpclient"
 )
 
 // Request is an HTTP request to an instance. The same Request can be sent more
@@ -145,7 +148,8 @@
 }
 
 // receive reads the headers of the response. It skips interim (1xx) responses
-// and responses that belong to other requests.
+// and responses that belong to other requests. A response with a status outside the protocol is
+// none, whatever follows it: the server is in trouble, and the request may have run.
 func (x *Exchange) receive(r *Request, matches func(*http.Response, bool) bool) error {
 	request := &http.Request{Method: r.Method}
 	skipped, interim := 0, 0
@@ -154,7 +158,10 @@
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK {
+		switch httpclient.ClassifyStatus(resp.StatusCode) {
+		case httpclient.StatusInvalid:
+			return fmt.Errorf("%w: %q", httpclient.ErrInvalidStatus, resp.Status)
+		case httpclient.StatusInterim:
 			interim++
 			continue
 		}
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -115,6 +115,47 @@
 	}
 }
 
+// Guards against a response with a status outside the protocol that counts as an answer, or as an interim
+// response, for which the exchange waits until its deadline or takes what follows. MIXED of issue 43.
+func TestStatusOutsideTheProtocolIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "020", "099", "+20", "101", "600", "700", "999", "20", "2000", "abc", "-01"} {
+		for name, rest := range map[string]string{
+			"no body": "Id: 1\r\nContent-Length: 0\r\n\r\n", "a body": "Id: 1\r\nContent-Length: 4\r\n\r\nbody",
+			"no end": "Id: 1\r\n\r\n", "a sound response behind": "Id: 1\r\n\r\n" + response("1", "sound"),
+			"a response behind a length": "Id: 1\r\nContent-Length: 0\r\n\r\n" + response("1", "sound"),
+		} {
+			for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+				address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+					if _, err := readRequest(r); err == nil {
+						_, _ = io.WriteString(c, interim+"HTTP/1.1 "+status+" Status\r\n"+rest)
+						_, _ = r.ReadByte() // until the connection is closed
+					}
+				})
+				options := testOptions("1")
+				options.Deadline = time.Now().Add(time.Minute)
+				started := time.Now()
+				body, err := exchangeWith(t, NewPool(), address, "1", options)
+				assert.ErrorIs(t, err, ErrExchangeFailed, "status %s with %s: %q", status, name, body)
+				assert.Assert(t, time.Since(started) < time.Minute, "status %s with %s ended at the deadline", status, name)
+			}
+		}
+	}
+}
+
+// Guards against interim responses that count as a failure.
+func TestInterimResponsesAreSkipped(t *testing.T) {
+	for _, status := range []string{"100", "102", "103", "199"} {
+		address := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, err := readRequest(r); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Interim\r\n\r\n"+response("1", "sound"))
+			}
+		})
+		body, err := doExchange(t, NewPool(), address, "1")
+		assert.NilError(t, err, status)
+		assert.Equal(t, body, "sound", status)
+	}
+}
+
 // Guards against reuse of a connection on which unsolicited data follows the
 // response.
 func TestConnectionsWithExtraBytesAreClosed(t *testing.T) {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/nutmegroute/nutmegroute/internal/httpclient"
 )
 
 var (
@@ -60,6 +62,7 @@
 	} else {
 		c.http.Transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
 	}
+	c.http.Transport = httpclient.CheckedTransport{Next: c.http.Transport}
 	// Following a 307 or 308 redirect would send a batch a second time.
 	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return c
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -34,6 +34,7 @@
 		{"missing result", t.Context(), func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }, engine.ErrNoResponse},
 		{"internal error", t.Context(), func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, engine.ErrNoResponse},
 		{"overloaded", t.Context(), func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, engine.ErrRejected},
+		{"status outside the protocol", t.Context(), func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(600) }, engine.ErrNoResponse},
 		{"redirect", t.Context(), func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/x", http.StatusTemporaryRedirect) }, engine.ErrNoResponse},
 	}
 	for _, tt := range tests {
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -14,13 +14,13 @@
 
 // New returns a client that uses no proxy and does not follow redirects, but
 // returns them as responses: following a redirect would send a write a second
-// time.
+// time. A response whose status is not final is an error.
 func New() *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = maxIdleConnections
 	return &http.Client{
-		Transport:     transport,
+		Transport:     CheckedTransport{Next: transport},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/nutmegroute/nutmegroute/internal/httpclient"
 	"github.com/nutmegroute/nutmegroute/internal/request"
 )
 
@@ -88,6 +89,7 @@
 		t.DisableKeepAlives = true
 		c.http.Transport = t
 	}
+	c.http.Transport = httpclient.CheckedTransport{Next: c.http.Transport}
 	// Following a redirect with status 307 or 308 would send the call again.
 	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return c
--- a/internal/service/client_test.go
+++ b/internal/service/client_test.go
@@ -33,6 +33,7 @@
 	}{
 		{"answered", t.Context(), "buy", respond(200, "ok"), nil, 200, 1},
 		{"failing status", t.Context(), "buy", respond(500, "no"), nil, 500, 1},
+		{"status outside the protocol", t.Context(), "buy", respond(600, "no"), ErrNoResponse, 0, 1},
 		{"redirect", t.Context(), "buy", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/x", http.StatusTemporaryRedirect) }, nil, http.StatusTemporaryRedirect, 1},
 		{"connection refused", t.Context(), "buy", nil, ErrNotSent, 0, 0},
 		{"invalid operation", t.Context(), "..", respond(200, ""), ErrNotSent, 0, 0},
