clientconn: Bound what the kernel holds of requests sent ahead

Cause: the account of client memory admits 2,400 connections on a machine of 284 MB and says that the kernel's buffers are bounded instead of accounted for. That bound was 128 KB a connection for what clients send: 300 MB for all of them.

TestKernelHoldsLittleOfRequestsSentAhead with the sizes of before: the kernel holds 123,890 bytes of one connection, 297 MB for 2,400.

Change: 32 KB a connection, set on the listener, since Linux takes what arrives before the accept into the buffer of the listener's size. Half of the machine stays free of buffers. While a body above 64 KB arrives the buffer is 128 KB as before, so that uploads over long links stay as fast; the difference is taken from the account and given back with the request. Without memory for it the body arrives more slowly. It holds for all servers with a guard: clients, readiness and metrics of a gateway, callers and operators of an entry.

--- a/internal/clientconn/body.go
+++ b/internal/clientconn/body.go
@@ -22,12 +22,17 @@
 // memory is short. taken is what the caller must release. It returns ErrNoMemory if none is left.
 func (g *Guard) ReadBody(c *clientlimit.Connection, r io.Reader, length int64, limit time.Duration) (body []byte, taken int64, err error) {
 	c.Receive(max(float64(length), 0)/limit.Seconds(), time.Now())
+	var buffer int64 // the memory of a grown buffer of the kernel
 	defer func() {
+		taken += buffer
 		if !c.Work() {
 			body, err = nil, errEnded
 		}
 	}()
 	for {
+		if buffer == 0 && len(body) >= largeBodyBytes {
+			buffer = g.growBuffer(c)
+		}
 		if len(body) == cap(body) {
 			grown := max(unknownGrowth*int64(cap(body)), firstBodyBytes)
 			if length >= 0 {
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -35,10 +35,7 @@
 	refusalTime = 20 * time.Millisecond
 	// DiscardTime bounds the reading of the rest of a request that was answered before its end.
 	DiscardTime = 250 * time.Millisecond
-	// socketBuffer bounds what the kernel holds of each direction of a connection, which it doubles.
-	// Linux would hold several megabytes of what a client does not read. It allows 2.5 MB/s at 50 ms.
-	socketBuffer = 64 << 10
-	sweepTime    = 250 * time.Millisecond
+	sweepTime   = 250 * time.Millisecond
 )
 
 // ErrNoMemory means that a request finds no memory.
@@ -98,7 +95,10 @@
 func (g *Guard) SetWriteTimeout(d time.Duration) { g.pieceTime = d }
 
 // Listen returns a listener whose connections are Conns, and that closes those without room.
-func (g *Guard) Listen(l net.Listener) net.Listener { return &listener{l, g} }
+func (g *Guard) Listen(l net.Listener) net.Listener {
+	limitListener(l)
+	return &listener{l, g}
+}
 
 type listener struct {
 	net.Listener
@@ -125,8 +125,8 @@
 // open adds a connection, or closes it and returns nil if there is no room.
 func (g *Guard) open(tcp *net.TCPConn) *Conn {
 	conn := &Conn{TCPConn: tcp, guard: g}
-	_ = tcp.SetReadBuffer(socketBuffer)
-	_ = tcp.SetWriteBuffer(socketBuffer)
+	_ = tcp.SetReadBuffer(receiveBuffer)
+	_ = tcp.SetWriteBuffer(sendBuffer)
 	var address netip.Addr
 	if a, ok := tcp.RemoteAddr().(*net.TCPAddr); ok {
 		address = a.AddrPort().Addr()
@@ -163,6 +163,8 @@
 	// handler runs. headMemory is what was taken for the head.
 	head, handled bool
 	headMemory    int64
+	// grown is true while the kernel may hold bodyBuffer of what the client sends.
+	grown bool
 }
 
 // Read implements io.Reader. A head that finds no memory is refused.
@@ -332,6 +334,7 @@
 	c.mu.Lock()
 	c.head, c.handled, c.headMemory = false, false, 0
 	c.mu.Unlock()
+	c.shrinkBuffer()
 	c.account.SetIdle(time.Now())
 }
 
