--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -41,7 +41,7 @@
 	// for changes. A watch that receives nothing, because its connection is
 	// dead or the store lost its history, is aborted after storeWatchWait and
 	// feed.WatchTimeoutMargin.
-	storeWatchWait = 2500 * time.Millisecond
+	storeWatchWait = 2200 * time.Millisecond
 	// rareWatchWait is how long a watch for gateways or quarantined parts waits for
 	// changes, which are rare.
 	rareWatchWait = 20 * time.Second
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -21,3 +21,12 @@
 	const margin = 500 * time.Millisecond
 	assert.Assert(t, storeWatchWait+feed.WatchTimeoutMargin+margin <= reachableAgainAfter)
 }
+
+// Guards against a gateway that counts as connected and has an old configuration in force, because it has
+// not noticed that its connection to the store went silent, while the store goes on and new connections
+// work (review/8). The platform counts it as connected 3 s later.
+func TestSilentWatchIsReplacedInTime(t *testing.T) {
+	const contactTime = 3 * time.Second
+	const listTime = 150 * time.Millisecond // the pause before the list, and the list
+	assert.Assert(t, storeWatchWait+feed.WatchTimeoutMargin+listTime < contactTime)
+}
