clientconn: Grow the buffer for large bodies of protected servers too

Cause: lets the kernel hold 32 KB of a connection, and 128 KB while a body above 64 KB arrives. The latter held only for bodies that a gateway reads: those of an entry's callers would have arrived at 16 KB a round trip.

Change: bodies that handlers of a protected server read grow the buffer by the same rule and pay for it until the request ends.

Result: go test -race ./internal/clientconn (buffers and bodies) passed; TestBufferGrowsForALargeBodyOfAHandler is new.

--- a/internal/clientconn/body.go
+++ b/internal/clientconn/body.go
@@ -71,8 +71,8 @@
 	guard *Guard
 	conn  *Conn
 	begun bool
-	// left is how many bytes are missing, negative if it is not known.
-	left int64
+	// left is how many bytes are missing, negative if it is not known; arrived is how many are not.
+	left, arrived int64
 }
 
 // Read implements io.Reader.
@@ -87,6 +87,10 @@
 		b.guard.observer.RequestRefused(b.conn.RemoteAddr().String())
 		return 0, ErrNoMemory
 	}
+	b.arrived += int64(n)
+	if b.arrived >= largeBodyBytes && b.arrived-int64(n) < largeBodyBytes {
+		b.guard.growBuffer(account) // until the end of the request, as all memory of the body
+	}
 	complete := err != nil
 	if b.left > 0 {
 		// A handler may stop reading at the end of the content, before the end of the body is seen.
--- a/internal/clientconn/buffers_test.go
+++ b/internal/clientconn/buffers_test.go
@@ -92,6 +92,34 @@
 	})
 }
 
+// Guards against the same for a server that is protected as a whole.
+func TestBufferGrowsForALargeBodyOfAHandler(t *testing.T) {
+	const length = 300 << 10
+	grown, used := make(chan int, 1), make(chan int64, 1)
+	var g *Guard
+	address, guard, _ := serve(t, clientlimit.Limits{Memory: 4 << 20, Connections: 10}, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		used <- g.Account().Use().Memory
+		body, ok := r.Body.(*accountedBody)
+		if !ok {
+			grown <- 0
+			return
+		}
+		grown <- receiveBufferOf(t, body.conn)
+	})
+	g = guard
+	client := dial(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "+strconv.Itoa(length)+"\r\n\r\n"+strings.Repeat("x", length))
+	assert.Equal(t, status(t, client), http.StatusOK)
+	assert.Assert(t, <-used >= bodyFactor*length+bodyBufferMemory)
+	assert.Equal(t, <-grown, 2*bodyBuffer)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if used := g.Account().Use().Memory; used != clientlimit.ConnectionBytes {
+			return poll.Continue("%d bytes are in use", used)
+		}
+		return poll.Success()
+	})
+}
+
 // receiveBufferOf returns the size of the kernel's buffer for what a client sends.
 func receiveBufferOf(t *testing.T, c *Conn) int {
 	t.Helper()
