test: The broken responses of an instance don't depend on the reuse of its connection

The instance of the test counts the requests of each connection and breaks off the second one. If more than 1.5 s pass between the two requests, the gateway rightly opens a new connection (maxIdleOnce), on which the instance answers the second request whole.

Change: the instance counts its requests over all connections, so that the second one is broken off whichever connection carries it. Each prefix is checked as before.

--- a/internal/gateway/broken_heads_test.go
+++ b/internal/gateway/broken_heads_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,13 +28,15 @@
 	interimResponse = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + lengthResponse
 )
 
-// serveRaw starts an instance that answers each request with text, and closes the connection
-// after the requests on it that answersWhole leaves over: these get whole before.
+// serveRaw starts an instance that answers its first requests, answersWhole of them, with whole. It
+// answers each further one with text and closes the connection, also if the gateway has opened another
+// one, because the first was unused for too long.
 func serveRaw(t *testing.T, text, whole string, answersWhole int) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
+	var requests atomic.Int64
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -43,11 +46,11 @@
 			go func() {
 				defer func() { _ = conn.Close() }()
 				r := bufio.NewReader(conn)
-				for n := 0; ; n++ {
+				for {
 					if _, err := http.ReadRequest(r); err != nil {
 						return
 					}
-					if n >= answersWhole {
+					if requests.Add(1) > int64(answersWhole) {
 						_, _ = io.WriteString(conn, text)
 						return
 					}
