gateway: Record the end of a response on a connection under one lock

Cause: took the lock of a client's connection twice at the end of each response, to note that it is idle and that it was used. Change: one function notes both. No decision changes. Result: go test -race ./internal/gateway with the tests of kept, idle and pipelined connections and of shutdowns passed (25 s).

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -193,8 +193,7 @@
 		conn.setIdle(time.Now())
 	case http.StateIdle:
 		conn.Conn.SetIdle()
-		conn.setIdle(time.Now())
-		conn.setUsed()
+		conn.setAnswered(time.Now())
 	case http.StateClosed, http.StateHijacked:
 		delete(l.open, conn)
 		delete(l.guarded, conn.Conn)
@@ -266,10 +265,11 @@
 	c.idle, c.idleSince = true, now
 }
 
-func (c *clientConn) setUsed() {
+// setAnswered is called when a response ends.
+func (c *clientConn) setAnswered(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.used = true
+	c.idle, c.idleSince, c.used = true, now, true
 }
 
 func (c *clientConn) wasUsed() bool {
