--- a/review/tool-3/clients.go
+++ b/review/tool-3/clients.go
@@ -44,6 +44,7 @@
 	run    *run
 	to     *gatewayProcess
 	client *http.Client
+	key    string
 }
 
 // lastID numbers the requests of all requesters.
@@ -52,7 +53,7 @@
 func newRequester(r *run, to *gatewayProcess) *requester {
 	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
 	r.atEnd(transport.CloseIdleConnections)
-	return &requester{r, to, &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
+	return &requester{run: r, to: to, key: apiKey, client: &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}}
 }
@@ -83,7 +84,7 @@
 	req.Host = host
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Deadline", fmt.Sprint(budgetMS))
-	req.Header.Set("Authorization", "Token "+apiKey)
+	req.Header.Set("Authorization", "Token "+q.key)
 	q.run.note("sent %s %s to %s", method, id, q.to.name)
 	sent := time.Now()
 	resp, err := q.client.Do(req)
--- a/review/tool-3/store.go
+++ b/review/tool-3/store.go
@@ -17,6 +17,8 @@
 // watches, conditional writes.
 type store struct {
 	address string
+	// close closes the address.
+	close func()
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -57,7 +59,8 @@
 	s := &store{address: l.Addr().String(), rev: 1, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
 	server := &http.Server{Handler: s}
 	go func() { _ = server.Serve(l) }()
-	r.atEnd(func() { _ = server.Close() })
+	s.close = func() { _ = server.Close() }
+	r.atEnd(s.close)
 	return s, nil
 }
 
