--- a/review/tool-3/main.go
+++ b/review/tool-3/main.go
@@ -82,6 +82,9 @@
 }
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "engine" {
+		os.Exit(serveEngine(os.Args[2:]))
+	}
 	number := flag.Int("case", 0, "number of the case")
 	program := flag.String("program", "target/nutmegroute-gateway", "path of the gateway")
 	record := flag.String("record", "record.txt", "path of the record")
