--- a/review/tool-3/store.go
+++ b/review/tool-3/store.go
@@ -13,6 +13,12 @@
 	"time"
 )
 
+// A list has pages of at most so many items and bytes.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
+
 // store is a stand-in of the platform's store: objects by kind and name with revisions, lists,
 // watches, conditional writes.
 type store struct {
@@ -27,6 +33,27 @@
 	history []change
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// delay is the time of an answer, rate the bytes a second, 0 for no limit.
+	delay time.Duration
+	rate  float64
+}
+
+// setPace sets how long an answer takes, and how many bytes a second are sent.
+func (s *store) setPace(delay time.Duration, bytesPerSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay, s.rate = delay, bytesPerSecond
+}
+
+// pause takes the time of an answer of a number of bytes.
+func (s *store) pause(bytes int) {
+	s.mu.Lock()
+	d := s.delay
+	if s.rate > 0 {
+		d += time.Duration(float64(bytes) / s.rate * float64(time.Second))
+	}
+	s.mu.Unlock()
+	time.Sleep(d)
 }
 
 type object struct {
@@ -148,7 +175,13 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
-	answer(w, http.StatusOK, map[string]any{"items": items, "truncated": false, "as_of": rev})
+	bytes, page := 0, 0
+	for page < len(items) && page < pageItems && (page == 0 || bytes+len(items[page].Spec) <= pageBytes) {
+		bytes += len(items[page].Spec)
+		page++
+	}
+	s.pause(bytes)
+	answer(w, http.StatusOK, map[string]any{"items": items[:page], "truncated": page < len(items), "as_of": rev})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
