--- a/review/tool-3/case12.go
+++ b/review/tool-3/case12.go
@@ -4,72 +4,115 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-func init() { cases[12] = playMovedStore }
+func init() { cases[12] = playUnreadableEntries }
 
 const (
-	// withdrawnKey is the API key that is taken away.
-	withdrawnKey = "anfqasnmgkcuyj8pjbvk"
-	// The bounds of the site sawt-muscat.
-	contactTime    = 3 * time.Second
-	configDeadline = 2 * time.Second
-	outerTime      = 5 * time.Second
+	// unreadableEntries is the number of entries of another writer, unreadableBytes the size of each: just
+	// under value_bytes.
+	unreadableEntries = 128
+	unreadableBytes   = valueBytes - 64
+	valueBytes        = 1 << 20
+	// restartDelay is the time between the end of a process and its restart, recoveryTime recovery_s.
+	restartDelay = 900 * time.Millisecond
+	recoveryTime = 12 * time.Second
+	// drainTime is drain_ms; drainMargin is added to it.
+	drainTime   = 2 * time.Second
+	drainMargin = 500 * time.Millisecond
 )
 
-// playMovedStore changes the store's address in the settings files, as SIGHUP says, and then takes a key
-// away. Without the trouble, only the key is taken away.
-func playMovedStore(r *run) error {
+// playUnreadableEntries leaves entries among the servers that can't be read, and kills all gateways, which
+// are started again. Without the trouble, there are no such entries.
+func playUnreadableEntries(r *run) error {
 	s, err := startStore(r)
 	if err != nil {
 		return err
 	}
-	s.put("config", "main", withKeys(7, apiKey, withdrawnKey))
+	s.put("config", "main", configuration(7))
+	var servers []*server
 	for n, zone := range zones {
 		id := []string{"i-7f3a91c2", "i-02d9e6b4", "i-c41b7e09"}[n]
-		if _, err := startServer(r, s, id, service, zone, 6, 15*time.Millisecond); err != nil {
+		v, err := startServer(r, s, id, service, zone, 6, 15*time.Millisecond)
+		if err != nil {
 			return err
 		}
+		servers = append(servers, v)
 	}
 	gateways, err := startGateways(r, s, len(zones))
 	if err != nil {
 		return err
 	}
-	time.Sleep(2 * time.Second)
+	s.setPace(4*time.Millisecond, 125e6) // as the sheet says: 4 ms an answer, 1,000 Mbit/s
 	if r.trouble {
-		if err := moveStore(r, s, gateways); err != nil {
+		text := strings.Repeat("x", unreadableBytes)
+		for n := range unreadableEntries {
+			s.put("servers", fmt.Sprintf("dump-%03d", n), text)
+		}
+		r.note("another writer has left %d entries of %d bytes that hold no server", unreadableEntries, unreadableBytes)
+	}
+	time.Sleep(time.Second)
+	before, _, err := servedShare(r, gateways, 4*time.Second)
+	if err != nil {
+		return err
+	}
+	servers[0].drain()
+	r.note("%s is draining; the store has acknowledged it", servers[0].id)
+	time.Sleep(drainTime + drainMargin)
+	_, late, err := servedShare(r, gateways, 2*time.Second)
+	if err != nil {
+		return err
+	}
+	if n := servers[0].runs(late); n > 0 {
+		r.breaks("DRAIN: %d of %d requests sent %v and more after the ack reached the server that is draining", n, len(late), drainTime+drainMargin)
+	}
+	for _, g := range gateways {
+		g.signal(syscall.SIGKILL)
+	}
+	r.note("all gateways are killed")
+	time.Sleep(restartDelay)
+	for _, g := range gateways {
+		if err := g.start(); err != nil {
 			return err
 		}
 	}
-	time.Sleep(contactTime + time.Second)
-	s.put("config", "main", withKeys(8, apiKey))
-	withdrawn := time.Now()
-	r.note("version 8 takes the key %s away; the store has acknowledged it", withdrawnKey)
-	time.Sleep(configDeadline + outerTime + time.Second)
+	r.note("all gateways are started again")
+	time.Sleep(recoveryTime)
+	after, _, err := servedShare(r, gateways, 8*time.Second)
+	if err != nil {
+		return err
+	}
+	if before >= 0.25 && after < 0.25 {
+		r.breaks("RECOVER: %.3f of the requests sent %v and more after the gateways were back are served, %.3f before they were killed",
+			after, recoveryTime, before)
+	}
+	return nil
+}
+
+// servedShare sends requests to all gateways for a time and returns the share that is served, and the ids of
+// all requests.
+func servedShare(r *run, gateways []*gatewayProcess, d time.Duration) (share float64, ids []string, err error) {
 	var mu sync.Mutex
-	ran, refused, other := 0, 0, 0
+	sent, served := 0, 0
+	statuses := make(map[int]int)
+	end := time.Now().Add(d)
 	var clients sync.WaitGroup
-	for _, g := range gateways {
-		q := newRequester(r, g)
-		q.key = withdrawnKey
+	for n := range 2 * len(gateways) {
+		q := newRequester(r, gateways[n%len(gateways)])
 		clients.Go(func() {
-			for range 20 {
+			for time.Now().Before(end) {
 				res := q.send(http.MethodPost, "/purchase/2f", "pack=oman-female-2&price=4.500")
 				mu.Lock()
-				switch {
-				case res.status == http.StatusOK && res.sealed:
-					ran++
-				case res.status == http.StatusUnauthorized:
-					refused++
-				default:
-					other++
+				sent++
+				ids = append(ids, res.id)
+				statuses[res.status]++
+				if res.status == http.StatusOK && res.sealed {
+					served++
 				}
 				mu.Unlock()
 				time.Sleep(100 * time.Millisecond)
@@ -77,49 +120,9 @@
 		})
 	}
 	clients.Wait()
-	r.note("sent %v and later after the key was taken away: %d ran, %d got 401, %d something else",
-		(configDeadline + outerTime + time.Second), ran, refused, other)
-	if ran > 0 {
-		r.breaks("CONFIG: %d purchases with a key that was taken away ran, sent over %v after the ack", ran,
-			(time.Since(withdrawn) - 3*time.Second).Round(time.Second))
-	}
-	if other > 0 && !r.trouble {
-		return fmt.Errorf("%d purchases got another answer", other)
+	r.note("%d requests sent, %d served; by status: %v", sent, served, statuses)
+	if sent == 0 {
+		return 0, nil, fmt.Errorf("no requests were sent")
 	}
-	return nil
-}
-
-// withKeys returns a configuration whose tenant holds the given keys.
-func withKeys(version int, keys ...string) map[string]any {
-	c := configuration(version)
-	c["tenants"] = []any{map[string]any{"name": tenant, "api_keys": keys, "priority": 1}}
-	return c
-}
-
-// moveStore makes the store listen at another address, writes that into the settings files, sends SIGHUP
-// and closes the former address.
-func moveStore(r *run, s *store, gateways []*gatewayProcess) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: s}
-	go func() { _ = server.Serve(l) }()
-	r.atEnd(func() { _ = server.Close() })
-	for _, g := range gateways {
-		text, err := os.ReadFile(g.settings)
-		if err != nil {
-			return err
-		}
-		moved := strings.ReplaceAll(string(text), s.address, l.Addr().String())
-		if err := os.WriteFile(g.settings, []byte(moved), 0o600); err != nil {
-			return err
-		}
-		g.signal(syscall.SIGHUP)
-		r.note("settings of %s changed, SIGHUP", g.name)
-	}
-	time.Sleep(2 * time.Second)
-	s.close()
-	r.note("the store's former address is closed")
-	return nil
+	return float64(served) / float64(sent), ids, nil
 }
--- a/review/tool-3/case14.go
+++ b/review/tool-3/case14.go
@@ -4,34 +4,34 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-func init() { cases[14] = playUnreadableEntries }
+func init() { cases[14] = playMovedStore }
 
 const (
-	// unreadableEntries is the number of entries of another writer, unreadableBytes the size of each: just
-	// under value_bytes.
-	unreadableEntries = 128
-	unreadableBytes   = valueBytes - 64
-	valueBytes        = 1 << 20
-	// restartDelay is the time between the end of a process and its restart, recoveryTime recovery_s.
-	restartDelay = 900 * time.Millisecond
-	recoveryTime = 12 * time.Second
+	// withdrawnKey is the API key that is taken away.
+	withdrawnKey = "anfqasnmgkcuyj8pjbvk"
+	// The bounds of the site sawt-muscat.
+	contactTime    = 3 * time.Second
+	configDeadline = 2 * time.Second
+	outerTime      = 5 * time.Second
 )
 
-// playUnreadableEntries leaves entries among the servers that can't be read, and kills all gateways, which
-// are started again. Without the trouble, there are no such entries.
-func playUnreadableEntries(r *run) error {
+// playMovedStore changes the store's address in the settings files, as SIGHUP says, and then takes a key
+// away. Without the trouble, only the key is taken away.
+func playMovedStore(r *run) error {
 	s, err := startStore(r)
 	if err != nil {
 		return err
 	}
-	s.put("config", "main", configuration(7))
+	s.put("config", "main", withKeys(7, apiKey, withdrawnKey))
 	for n, zone := range zones {
 		id := []string{"i-7f3a91c2", "i-02d9e6b4", "i-c41b7e09"}[n]
 		if _, err := startServer(r, s, id, service, zone, 6, 15*time.Millisecond); err != nil {
@@ -42,59 +42,34 @@
 	if err != nil {
 		return err
 	}
-	s.setPace(4*time.Millisecond, 125e6) // as the sheet says: 4 ms an answer, 1,000 Mbit/s
+	time.Sleep(2 * time.Second)
 	if r.trouble {
-		text := strings.Repeat("x", unreadableBytes)
-		for n := range unreadableEntries {
-			s.put("servers", fmt.Sprintf("dump-%03d", n), text)
-		}
-		r.note("another writer has left %d entries of %d bytes that hold no server", unreadableEntries, unreadableBytes)
-	}
-	time.Sleep(time.Second)
-	before, err := servedShare(r, gateways, 4*time.Second)
-	if err != nil {
-		return err
-	}
-	for _, g := range gateways {
-		g.signal(syscall.SIGKILL)
-	}
-	r.note("all gateways are killed")
-	time.Sleep(restartDelay)
-	for _, g := range gateways {
-		if err := g.start(); err != nil {
+		if err := moveStore(r, s, gateways); err != nil {
 			return err
 		}
 	}
-	r.note("all gateways are started again")
-	time.Sleep(recoveryTime)
-	after, err := servedShare(r, gateways, 8*time.Second)
-	if err != nil {
-		return err
-	}
-	if before >= 0.25 && after < 0.25 {
-		r.breaks("RECOVER: %.3f of the requests sent %v and more after the gateways were back are served, %.3f before they were killed",
-			after, recoveryTime, before)
-	}
-	return nil
-}
-
-// servedShare sends requests to all gateways for a time and returns the share that is served.
-func servedShare(r *run, gateways []*gatewayProcess, d time.Duration) (float64, error) {
+	time.Sleep(contactTime + time.Second)
+	s.put("config", "main", withKeys(8, apiKey))
+	withdrawn := time.Now()
+	r.note("version 8 takes the key %s away; the store has acknowledged it", withdrawnKey)
+	time.Sleep(configDeadline + outerTime + time.Second)
 	var mu sync.Mutex
-	sent, served := 0, 0
-	statuses := make(map[int]int)
-	end := time.Now().Add(d)
+	ran, refused, other := 0, 0, 0
 	var clients sync.WaitGroup
-	for n := range 2 * len(gateways) {
-		q := newRequester(r, gateways[n%len(gateways)])
+	for _, g := range gateways {
+		q := newRequester(r, g)
+		q.key = withdrawnKey
 		clients.Go(func() {
-			for time.Now().Before(end) {
+			for range 20 {
 				res := q.send(http.MethodPost, "/purchase/2f", "pack=oman-female-2&price=4.500")
 				mu.Lock()
-				sent++
-				statuses[res.status]++
-				if res.status == http.StatusOK && res.sealed {
-					served++
+				switch {
+				case res.status == http.StatusOK && res.sealed:
+					ran++
+				case res.status == http.StatusUnauthorized:
+					refused++
+				default:
+					other++
 				}
 				mu.Unlock()
 				time.Sleep(100 * time.Millisecond)
@@ -102,9 +77,49 @@
 		})
 	}
 	clients.Wait()
-	r.note("%d requests sent, %d served; by status: %v", sent, served, statuses)
-	if sent == 0 {
-		return 0, fmt.Errorf("no requests were sent")
+	r.note("sent %v and later after the key was taken away: %d ran, %d got 401, %d something else",
+		(configDeadline + outerTime + time.Second), ran, refused, other)
+	if ran > 0 {
+		r.breaks("CONFIG: %d purchases with a key that was taken away ran, sent over %v after the ack", ran,
+			(time.Since(withdrawn) - 3*time.Second).Round(time.Second))
 	}
-	return float64(served) / float64(sent), nil
+	if other > 0 && !r.trouble {
+		return fmt.Errorf("%d purchases got another answer", other)
+	}
+	return nil
+}
+
+// withKeys returns a configuration whose tenant holds the given keys.
+func withKeys(version int, keys ...string) map[string]any {
+	c := configuration(version)
+	c["tenants"] = []any{map[string]any{"name": tenant, "api_keys": keys, "priority": 1}}
+	return c
+}
+
+// moveStore makes the store listen at another address, writes that into the settings files, sends SIGHUP
+// and closes the former address.
+func moveStore(r *run, s *store, gateways []*gatewayProcess) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: s}
+	go func() { _ = server.Serve(l) }()
+	r.atEnd(func() { _ = server.Close() })
+	for _, g := range gateways {
+		text, err := os.ReadFile(g.settings)
+		if err != nil {
+			return err
+		}
+		moved := strings.ReplaceAll(string(text), s.address, l.Addr().String())
+		if err := os.WriteFile(g.settings, []byte(moved), 0o600); err != nil {
+			return err
+		}
+		g.signal(syscall.SIGHUP)
+		r.note("settings of %s changed, SIGHUP", g.name)
+	}
+	time.Sleep(2 * time.Second)
+	s.close()
+	r.note("the store's former address is closed")
+	return nil
 }
--- a/review/tool-3/servers.go
+++ b/review/tool-3/servers.go
@@ -109,6 +109,25 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// drain makes the server report that it is draining, and returns once the store has accepted that.
+func (v *server) drain() {
+	v.mu.Lock()
+	v.state = "draining"
+	v.mu.Unlock()
+	v.beat()
+}
+
+// runs returns how many of the given requests have run at the server.
+func (v *server) runs(ids []string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, id := range ids {
+		n += v.ran[id]
+	}
+	return n
+}
+
 // begin takes a slot and reports whether there was one.
 func (v *server) begin(id string) bool {
 	v.mu.Lock()
