--- a/review/tool-3/case13.go
+++ b/review/tool-3/case13.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -16,6 +17,8 @@
 const (
 	modelHost    = "speech.example"
 	modelService = "speech-lm"
+	// streamsEach is the number of streams at a time at each gateway, under the slots of a server.
+	streamsEach = 80
 )
 
 // modelConfiguration returns a configuration with a route of streams that may be resumed and a model of a
@@ -50,7 +53,7 @@
 	err      error
 }
 
-// playKilledServer kills a model server in the middle of streams that have no length.
+// playKilledServer kills a model server in the middle of streams of which a few have no length.
 func playKilledServer(r *run) error {
 	s, err := startStore(r)
 	if err != nil {
@@ -76,10 +79,10 @@
 	var results []streamResult
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	for n := range 4 * len(gateways) {
+	for n := range streamsEach * len(gateways) {
 		q := newRequester(r, gateways[n%len(gateways)])
 		clients.Go(func() {
-			time.Sleep(time.Duration(n) * 137 * time.Millisecond)
+			time.Sleep(time.Duration(n) * 7 * time.Millisecond)
 			for {
 				select {
 				case <-stop:
@@ -90,11 +93,17 @@
 				mu.Lock()
 				results = append(results, res)
 				mu.Unlock()
+				if !res.complete {
+					time.Sleep(500 * time.Millisecond)
+				}
 			}
 		})
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(3 * time.Second)
 	if r.trouble {
+		r.note("for %v, %.2f of the answers of server %s have no length", unframedTime, unframedShare, engines[0].id)
+		_ = engines[0].cmd.Process.Signal(syscall.SIGUSR1)
+		time.Sleep(4 * time.Second)
 		r.note("server %s in %s is killed", engines[0].id, engines[0].zone)
 		_ = engines[0].cmd.Process.Kill()
 	}
--- a/review/tool-3/engine.go
+++ b/review/tool-3/engine.go
@@ -8,10 +8,12 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,8 +30,14 @@
 	engineSlots  = 192
 )
 
-// engine is a sound model server that runs as a process of its own. Its answers have no length and end
-// with their channel.
+// A share of the answers of a server has no length for a while after SIGUSR1, as much as the site's days name
+// (garble, unframed).
+const (
+	unframedShare = 0.05
+	unframedTime  = 5 * time.Second
+)
+
+// engine is a sound model server that runs as a process of its own.
 type engine struct {
 	id, zone, store, address string
 	born                     int64
@@ -40,6 +48,15 @@
 	from, to   int
 	busy       bool
 	running    int
+	// unframedUntil is until when a share of the answers has no length.
+	unframedUntil time.Time
+}
+
+// unframed reports whether the next answer has no length.
+func (e *engine) unframed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.unframedUntil) && rand.Float64() < unframedShare
 }
 
 // serveEngine is the main function of the process.
@@ -57,6 +74,15 @@
 	}
 	e.address = l.Addr().String()
 	e.beat()
+	troubled := make(chan os.Signal, 1)
+	signal.Notify(troubled, syscall.SIGUSR1)
+	go func() {
+		for range troubled {
+			e.mu.Lock()
+			e.unframedUntil = time.Now().Add(unframedTime)
+			e.mu.Unlock()
+		}
+	}()
 	go func() {
 		for range time.Tick(heartbeat) {
 			e.beat()
@@ -178,18 +204,33 @@
 		e.running--
 		e.mu.Unlock()
 	}()
+	h := w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("X-Attempt-Id", id)
+	h.Set("X-Response-Seal", "seal."+e.id+"."+id)
+	h.Set("X-Weight-Versions", "1")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if !e.unframed() {
+		writePieces(w, http.NewResponseController(w).Flush, id, last)
+		return
+	}
 	conn, rw, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\n"+
-		"X-Response-Seal: seal.%s.%s\r\nX-Weight-Versions: 1\r\nConnection: close\r\n\r\n", id, e.id, id)
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	_, _ = io.WriteString(rw, "HTTP/1.1 200 OK\r\nConnection: close\r\n")
+	_ = h.Write(rw)
+	_, _ = io.WriteString(rw, "\r\n")
+	writePieces(rw, rw.Flush, id, last)
+}
+
+// writePieces writes the events of a stream that follow the event last.
+func writePieces(w io.Writer, flush func() error, id string, last int) {
 	for n := last + 1; n <= streamPieces; n++ {
 		time.Sleep(pieceTime)
-		fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", n, n, id)
-		if rw.Flush() != nil {
+		fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, id)
+		if flush() != nil {
 			return
 		}
 	}
--- a/review/tool-3/store.go
+++ b/review/tool-3/store.go
@@ -23,8 +23,6 @@
 // watches, conditional writes.
 type store struct {
 	address string
-	// close closes the address.
-	close func()
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -86,8 +84,7 @@
 	s := &store{address: l.Addr().String(), rev: 1, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
 	server := &http.Server{Handler: s}
 	go func() { _ = server.Serve(l) }()
-	s.close = func() { _ = server.Close() }
-	r.atEnd(s.close)
+	r.atEnd(func() { _ = server.Close() })
 	return s, nil
 }
 
